--- /dev/null
+++ b/src/core/front.rs
@@ -0,0 +1,377 @@
+//! What users ask: submissions, questions, withdrawals, and whether the node is up.
+//!
+//! `done` and `withdrawn` may be told from memory, for they are committed. Anything
+//! else another node may know better, so it needs a read no older than the question.
+
+use super::*;
+use log::info;
+use std::collections::VecDeque;
+
+/// A submission that waits for its commit.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    req: ReqId,
+    id: JobId,
+    rec: JobRec,
+    asked: Time,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Wish {
+    /// The present state.
+    Poll,
+    /// The present state of a job that seems to have been submitted before; when it
+    /// wasn't, the user shall come again.
+    Again,
+    /// 422 unless the job is known.
+    Refuse(String),
+    Withdraw,
+}
+
+/// A question that waits for a fresh read.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+    req: ReqId,
+    id: JobId,
+    wish: Wish,
+    asked: Time,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Front {
+    submissions: VecDeque<Submission>,
+    questions: VecDeque<Question>,
+    /// Questions whose job isn't among the live ones: its end is still to be read.
+    unknown: VecDeque<Question>,
+    withdrawals: VecDeque<Question>,
+}
+
+/// Users wait 2 s for the answer to a question, and 5 s for other ones.
+const QUESTION_S: f64 = 1.5;
+const SUBMIT_S: f64 = 3.0;
+/// Most requests that wait at once. What comes on top is told when to come back.
+const WAITING_MAX: usize = 400;
+/// Submissions that wait are at most what the change budget clears in this time.
+const SUBMIT_BACKLOG_S: f64 = 1.5;
+
+impl Front {
+    pub(crate) fn newest_question(&self) -> Option<Time> {
+        self.questions.back().map(|q| q.asked)
+    }
+}
+
+impl Core {
+    pub(crate) fn on_ask(&mut self, req: ReqId, ask: Ask) {
+        match ask {
+            Ask::Up => self.on_up(req),
+            Ask::Report(report) => self.on_report(req, report),
+            Ask::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
+            Ask::Submit(Err(bad)) => self.answer(req, Reply::ok(400, error_body(bad.0))),
+            Ask::Poll(id) => self.on_question(req, id, Wish::Poll),
+            Ask::Withdraw(id) => self.on_question(req, id, Wish::Withdraw),
+        }
+    }
+
+    pub(crate) fn on_hangup(&mut self, req: ReqId) {
+        if let Some(h) = &mut self.holder {
+            h.forget_request(req);
+        }
+    }
+
+    /// Unhealthy only while a sibling does better: if nobody sees the state service,
+    /// taking all nodes away would only slow the return.
+    fn on_up(&mut self, req: ReqId) {
+        let reply = if self.blind() && (!self.listed || self.sibling_sighted()) {
+            Reply::later(503, 1, "the state service doesn't answer")
+        } else {
+            Reply::ok(200, Vec::new())
+        };
+        self.answer(req, reply);
+    }
+
+    fn on_submit(&mut self, req: ReqId, id: JobId, mut rec: JobRec) {
+        if self.cache.ending(&id).is_some() || self.cache.jobs.contains_key(&id) {
+            return self.on_question(req, id, Wish::Again);
+        }
+        if self.blind() {
+            return self.answer(
+                req,
+                Reply::later(503, 2, "the state service doesn't answer"),
+            );
+        }
+        if self.catalog.is_empty() {
+            return self.answer(req, Reply::later(503, 2, "machine types aren't known yet"));
+        }
+        if let Some(why) = self.never_runs(&rec) {
+            return self.on_question(req, id, Wish::Refuse(why));
+        }
+        rec.chunk = self.chunk_size();
+        let wps = self.settings.platform.facts.state.write_rps;
+        let room = (wps * SUBMIT_BACKLOG_S) as usize;
+        if self.front.submissions.len() >= room.clamp(8, WAITING_MAX) {
+            return self.answer(req, Reply::later(429, 2, "too many submissions"));
+        }
+        let asked = self.now;
+        let submission = Submission {
+            req,
+            id,
+            rec,
+            asked,
+        };
+        self.front.submissions.push_back(submission);
+    }
+
+    /// Tasks per run record: a placed task takes about 60 bytes as JSON, and half of
+    /// the value limit is left for the rest.
+    fn chunk_size(&self) -> u32 {
+        let kb = self.settings.platform.facts.state.value_kb;
+        ((kb * 1024.0 / 120.0) as u32).clamp(1, 256)
+    }
+
+    /// Why a job can never run, if so.
+    fn never_runs(&self, rec: &JobRec) -> Option<String> {
+        let facts = &self.settings.platform.facts;
+        let Some(team) = facts.teams.iter().find(|t| t.name == rec.team) else {
+            return Some("unknown team".into());
+        };
+        let fits = self.catalog.iter().any(|c| {
+            let named = rec.types.as_ref().is_none_or(|t| t.contains(&c.name));
+            let zoned = rec.zone.as_ref().is_none_or(|z| c.zones.contains(z));
+            named && zoned && c.room.holds(rec.need)
+        });
+        if !fits {
+            return Some("a task fits no allowed machine type".into());
+        }
+        let times = match rec.form {
+            Form::Batch => 1.0,
+            Form::Service => f64::from(rec.count),
+        };
+        let over = |need: f64, max: f64| max > 0.0 && need * times > max + 1e-6;
+        if over(rec.need.cpus, team.cpus_max) || over(rec.need.gpus, team.gpus_max) {
+            return Some("the job needs more than its team's limit".into());
+        }
+        None
+    }
+
+    fn on_question(&mut self, req: ReqId, id: JobId, wish: Wish) {
+        if let Some(ending) = self.cache.ending(&id) {
+            return self.answer_ending(req, &id, ending);
+        }
+        if self.blind() || self.front.questions.len() >= WAITING_MAX {
+            return self.answer(req, Reply::later(503, 1, "present state isn't known"));
+        }
+        let asked = self.now;
+        let question = Question {
+            req,
+            id,
+            wish,
+            asked,
+        };
+        self.front.questions.push_back(question);
+    }
+
+    fn answer_ending(&mut self, req: ReqId, id: &JobId, ending: Ending) {
+        let stance = match ending {
+            Ending::Done => Stance::Done,
+            Ending::Withdrawn => Stance::Withdrawn,
+        };
+        self.answer(req, Reply::ok(200, stance_body(id, stance, 0, 0)));
+    }
+
+    /// Answers what the latest fresh read allows. Questions stand in order of time.
+    pub(crate) fn answer_questions(&mut self) {
+        while let Some(q) = self.front.questions.front() {
+            if q.asked > self.fresh_at {
+                break;
+            }
+            if let Some(q) = self.front.questions.pop_front() {
+                self.answer_question(q);
+            }
+        }
+    }
+
+    fn answer_question(&mut self, q: Question) {
+        if let Some(ending) = self.cache.ending(&q.id) {
+            return self.answer_ending(q.req, &q.id, ending);
+        }
+        let Some(job) = self.cache.jobs.get(&q.id) else {
+            self.front.unknown.push_back(q);
+            return;
+        };
+        if job.withdrawn.is_some() {
+            return self.answer_ending(q.req, &q.id, Ending::Withdrawn);
+        }
+        if q.wish == Wish::Withdraw {
+            self.front.withdrawals.push_back(q);
+            return;
+        }
+        let (done, running) = self.cache.counts(&q.id);
+        let stance = if running > 0 {
+            Stance::Running
+        } else {
+            Stance::Queued
+        };
+        let body = stance_body(&q.id, stance, done, running);
+        self.answer(q.req, Reply::ok(200, body));
+    }
+
+    pub(crate) fn pump_front(&mut self) {
+        self.pump_withdrawals();
+        self.pump_unknown();
+        self.pump_submissions();
+    }
+
+    fn pump_withdrawals(&mut self) {
+        while let Some(q) = self.front.withdrawals.pop_front() {
+            let Some(job) = self.cache.jobs.get(&q.id) else {
+                self.front.unknown.push_back(q);
+                continue;
+            };
+            let mut rec = (*job.rec).clone();
+            rec.withdrawn = true;
+            let (job, end) = (Key::Job(q.id.clone()), Key::End(q.id.clone()));
+            let op = StateOp::Commit {
+                when: vec![(job.clone(), self.cache.jobs[&q.id].mark), (end.clone(), 0)],
+                writes: vec![
+                    Write::put(job, Record::Job(Box::new(rec))),
+                    Write::put(end, Record::End(Ending::Withdrawn)),
+                ],
+            };
+            if let Err(Purpose::Withdraw(q)) =
+                self.state_call(op, Purpose::Withdraw(q), Priority::First)
+            {
+                self.front.withdrawals.push_front(q);
+                break;
+            }
+        }
+    }
+
+    pub(crate) fn on_withdrawn(&mut self, q: Question, reply: StateReply) {
+        match reply {
+            StateReply::Committed { .. } => {
+                info!("job {} withdrawn by its user", q.id);
+                self.cache.remember(q.id.clone(), Ending::Withdrawn);
+                self.answer_ending(q.req, &q.id, Ending::Withdrawn);
+            }
+            StateReply::Refused => self.front.withdrawals.push_back(q),
+            // Somebody changed the job, or the commit may stand: look again.
+            _ => {
+                let asked = self.now;
+                self.front.questions.push_back(Question { asked, ..q });
+            }
+        }
+    }
+
+    fn pump_unknown(&mut self) {
+        while let Some(q) = self.front.unknown.pop_front() {
+            let op = StateOp::Get(Key::End(q.id.clone()));
+            if let Err(Purpose::ReadEnd(q)) =
+                self.state_call(op, Purpose::ReadEnd(q), Priority::Usual)
+            {
+                self.front.unknown.push_front(q);
+                break;
+            }
+        }
+    }
+
+    pub(crate) fn on_end_read(&mut self, q: Question, reply: StateReply) {
+        match (reply, &q.wish) {
+            (StateReply::Found { record, .. }, _) => {
+                if let Record::End(ending) = record {
+                    self.cache.remember(q.id.clone(), ending);
+                    self.answer_ending(q.req, &q.id, ending);
+                }
+            }
+            (StateReply::Missing { .. }, Wish::Refuse(why)) => {
+                let body = error_body(why);
+                self.answer(q.req, Reply::ok(422, body));
+            }
+            (StateReply::Missing { .. }, Wish::Poll | Wish::Withdraw) => {
+                self.answer(q.req, Reply::ok(404, error_body("no such job")));
+            }
+            _ => self.answer(q.req, Reply::later(503, 1, "present state isn't known")),
+        }
+    }
+
+    /// Commits waiting submissions, several to a transaction.
+    fn pump_submissions(&mut self) {
+        // What a commit of two jobs says of one applies to both, so a conflict
+        // makes its jobs ask one by one. Conflicts are rare: only retries make them.
+        let most = (self.settings.platform.facts.state.txn_ops / 2).clamp(1, 8);
+        while !self.front.submissions.is_empty() {
+            let n = most.min(self.front.submissions.len());
+            let list: Vec<Submission> = self.front.submissions.drain(..n).collect();
+            let mut when = Vec::with_capacity(2 * n);
+            let mut writes = Vec::with_capacity(n);
+            for s in &list {
+                when.push((Key::Job(s.id.clone()), 0));
+                when.push((Key::End(s.id.clone()), 0));
+                let record = Record::Job(Box::new(s.rec.clone()));
+                writes.push(Write::put(Key::Job(s.id.clone()), record));
+            }
+            let op = StateOp::Commit { when, writes };
+            if let Err(Purpose::Submit(list)) =
+                self.state_call(op, Purpose::Submit(list), Priority::Usual)
+            {
+                for s in list.into_iter().rev() {
+                    self.front.submissions.push_front(s);
+                }
+                break;
+            }
+        }
+    }
+
+    pub(crate) fn on_submitted(&mut self, list: Vec<Submission>, reply: StateReply) {
+        for s in list {
+            match &reply {
+                StateReply::Committed { .. } => {
+                    info!("job {} accepted", s.id);
+                    let body = stance_body(&s.id, Stance::Queued, 0, 0);
+                    self.answer(s.req, Reply::ok(201, body));
+                }
+                StateReply::Conflict { failed } => {
+                    let key =
+                        |k: &Key| *k == Key::Job(s.id.clone()) || *k == Key::End(s.id.clone());
+                    if failed.iter().any(key) || failed.is_empty() {
+                        self.on_question(s.req, s.id, Wish::Again);
+                    } else {
+                        self.front.submissions.push_back(s);
+                    }
+                }
+                StateReply::Refused => {
+                    self.answer(s.req, Reply::later(503, 1, "the state service refused"));
+                }
+                // It may stand or may yet come to stand: a retry finds out.
+                _ => self.answer(
+                    s.req,
+                    Reply::later(503, 1, "the state service didn't answer"),
+                ),
+            }
+        }
+    }
+
+    /// Gives up what can't be answered in time. The answer goes out at once.
+    pub(crate) fn front_chores(&mut self) {
+        let (now, mut late) = (self.now, Vec::new());
+        let f = &mut self.front;
+        for queue in [&mut f.questions, &mut f.unknown, &mut f.withdrawals] {
+            queue.retain(|q| {
+                let keep = now.since(q.asked) < QUESTION_S;
+                if !keep {
+                    late.push(q.req);
+                }
+                keep
+            });
+        }
+        f.submissions.retain(|s| {
+            let keep = now.since(s.asked) < SUBMIT_S;
+            if !keep {
+                late.push(s.req);
+            }
+            keep
+        });
+        for req in late {
+            self.answer(req, Reply::later(503, 2, "the state service is slow"));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/jobs.rs
@@ -0,0 +1,203 @@
+//! What this controller knows of the state service's content, by following it.
+
+use crate::core::records::*;
+use crate::ids::*;
+use crate::wire::Change;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Most final stances kept in memory; older ones are read again when asked for.
+const ENDINGS_MAX: usize = 20_000;
+
+#[derive(Clone, Debug)]
+pub struct CachedJob {
+    pub rec: Rc<JobRec>,
+    pub mark: u64,
+    /// When this process learnt that the job is withdrawn.
+    pub withdrawn: Option<Time>,
+}
+
+/// A record with its revision; revision 0 stands for one that doesn't exist.
+#[derive(Clone, Debug)]
+pub struct Slot<T> {
+    pub mark: u64,
+    pub rec: Option<T>,
+}
+
+impl<T> Default for Slot<T> {
+    fn default() -> Self {
+        Self { mark: 0, rec: None }
+    }
+}
+
+impl<T> Slot<T> {
+    /// Takes a change unless a newer one is known. True if something changed.
+    fn set(&mut self, mark: u64, rec: Option<T>) -> bool {
+        if mark <= self.mark {
+            return false;
+        }
+        // A deleted key compares as revision 0 at the state service, but its
+        // deletion must still outrank older changes that come late.
+        self.mark = mark;
+        self.rec = rec;
+        true
+    }
+
+    /// The revision to compare with in a commit.
+    pub fn version(&self) -> u64 {
+        if self.rec.is_some() { self.mark } else { 0 }
+    }
+}
+
+/// What a change means to the rest of the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A job is new, or its stance changed.
+    Job(JobId),
+    JobGone(JobId),
+    /// Leader, number, block or plan changed.
+    Control,
+}
+
+#[derive(Debug, Default)]
+pub struct Cache {
+    /// The revision up to which everything is known.
+    pub ledger: u64,
+    pub leader: Slot<LeaderRec>,
+    pub number: Slot<NumberRec>,
+    pub plan: Slot<PlanRec>,
+    pub blocks: BTreeMap<u32, Slot<BlockRec>>,
+    pub jobs: BTreeMap<JobId, CachedJob>,
+    pub runs: BTreeMap<(JobId, u32), (u64, RunRec)>,
+    endings: HashMap<JobId, Ending>,
+    endings_order: VecDeque<JobId>,
+}
+
+impl Cache {
+    /// Takes one change. Changes come again and late, and are then ignored.
+    pub fn apply(&mut self, now: Time, (key, mark, record): Change) -> Option<Event> {
+        match (key, record) {
+            (Key::Leader, Some(Record::Leader(r))) => control(self.leader.set(mark, Some(r))),
+            (Key::Leader, None) => control(self.leader.set(mark, None)),
+            (Key::Number, Some(Record::Number(r))) => control(self.number.set(mark, Some(r))),
+            (Key::Plan, Some(Record::Plan(r))) => control(self.plan.set(mark, Some(r))),
+            (Key::Block(k), Some(Record::Block(r))) => {
+                control(self.blocks.entry(k).or_default().set(mark, Some(r)))
+            }
+            (Key::Job(id), Some(Record::Job(r))) => self.set_job(now, id, mark, *r),
+            (Key::Job(id), None) => {
+                let old = self.jobs.get(&id).is_some_and(|j| j.mark < mark);
+                if !old {
+                    return None;
+                }
+                self.jobs.remove(&id);
+                Some(Event::JobGone(id))
+            }
+            (Key::Run(id, chunk), Some(Record::Run(r))) => {
+                let at = self.runs.entry((id, chunk)).or_default();
+                if mark > at.0 {
+                    *at = (mark, r);
+                }
+                None
+            }
+            (Key::Run(id, chunk), None) => {
+                let key = (id, chunk);
+                if self.runs.get(&key).is_some_and(|r| r.0 < mark) {
+                    self.runs.remove(&key);
+                }
+                None
+            }
+            (Key::End(id), Some(Record::End(e))) => {
+                self.remember(id, e);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn set_job(&mut self, now: Time, id: JobId, mark: u64, rec: JobRec) -> Option<Event> {
+        if self.jobs.get(&id).is_some_and(|j| j.mark >= mark) {
+            return None;
+        }
+        let since = self.jobs.get(&id).and_then(|j| j.withdrawn).unwrap_or(now);
+        let withdrawn = rec.withdrawn.then_some(since);
+        let rec = Rc::new(rec);
+        let job = CachedJob {
+            rec,
+            mark,
+            withdrawn,
+        };
+        self.jobs.insert(id.clone(), job);
+        Some(Event::Job(id))
+    }
+
+    /// Takes a full listing that began at `ledger`: what it doesn't hold is gone.
+    pub fn replace(&mut self, now: Time, ledger: u64, entries: Vec<Change>) -> Vec<Event> {
+        let mut events = Vec::new();
+        let listed: std::collections::HashSet<Key> =
+            entries.iter().map(|(k, _, _)| k.clone()).collect();
+        let lost: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| j.mark <= ledger && !listed.contains(&Key::Job((*id).clone())))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            self.jobs.remove(&id);
+            events.push(Event::JobGone(id));
+        }
+        self.runs.retain(|(id, chunk), (mark, _)| {
+            *mark > ledger || listed.contains(&Key::Run(id.clone(), *chunk))
+        });
+        if !listed.contains(&Key::Leader) {
+            self.leader.set(ledger, None);
+        }
+        for change in entries {
+            events.extend(self.apply(now, change));
+        }
+        self.ledger = self.ledger.max(ledger);
+        events
+    }
+
+    /// Remembers how a job ended, within a bound.
+    pub fn remember(&mut self, id: JobId, ending: Ending) {
+        if self.endings.insert(id.clone(), ending).is_none() {
+            self.endings_order.push_back(id);
+        }
+        while self.endings_order.len() > ENDINGS_MAX {
+            if let Some(old) = self.endings_order.pop_front() {
+                self.endings.remove(&old);
+            }
+        }
+    }
+
+    pub fn ending(&self, id: &JobId) -> Option<Ending> {
+        self.endings.get(id).copied()
+    }
+
+    /// The chunks written for a job.
+    pub fn chunks(&self, id: &JobId) -> impl Iterator<Item = (u32, &(u64, RunRec))> {
+        self.runs
+            .range((id.clone(), 0)..=(id.clone(), u32::MAX))
+            .map(|((_, chunk), run)| (*chunk, run))
+    }
+
+    /// Finished and placed tasks as far as they are written.
+    pub fn counts(&self, id: &JobId) -> (u32, u32) {
+        self.chunks(id).fold((0, 0), |(done, placed), (_, (_, r))| {
+            let ended: u32 = r.done.iter().map(|(a, b)| b.saturating_sub(*a)).sum();
+            (done + ended, placed + r.placed.len() as u32)
+        })
+    }
+
+    /// The highest number that anything known here speaks of.
+    pub fn highest(&self) -> Number {
+        let said = self.number.rec.as_ref().map(|r| r.highest);
+        let held = self.blocks.values().filter_map(|b| b.rec.as_ref());
+        held.map(|b| b.number).chain(said).max().unwrap_or_default()
+    }
+}
+
+fn control(changed: bool) -> Option<Event> {
+    changed.then_some(Event::Control)
+}
--- /dev/null
+++ b/src/core/placement.rs
@@ -0,0 +1,368 @@
+//! Where tasks go: as soon as they come, wherever the block has room for them.
+
+use super::blocks::{Live, Machine, Phase, Placement};
+use super::*;
+use log::debug;
+use std::rc::Rc;
+
+/// Shortest pause between two rounds of placing.
+const PLACE_GAP_MS: u64 = 15;
+/// A machine that hasn't reported for this many report intervals gets no tasks.
+const FRESH_REPORTS: f64 = 3.5;
+/// Weights of a placement's cost, in seconds of a start's delay.
+const SPREAD_COST: f64 = 4.0;
+const FREE_COST: f64 = 1.5;
+const SPOT_GAIN: f64 = 2.0;
+/// How long room made by stopping others is waited for before more is made.
+const PREEMPT_S: f64 = 6.0;
+/// Most tasks placed in one round, so that a swarm doesn't hold up everything else.
+const ROUND_MAX: usize = 64;
+
+/// Order in which queued jobs are served; lower comes first.
+type Turn = (std::cmp::Reverse<Rank>, bool, u32, u64, JobId);
+
+impl Core {
+    /// Places queued tasks. Those that find no room are counted by the autoscaler.
+    pub(crate) fn place(&mut self) {
+        let (now, blind) = (self.now, self.blind());
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if !h.place_wanted || blind || self.catalog.is_empty() || now < h.place_at {
+            return;
+        }
+        h.place_at = Time(now.0 + PLACE_GAP_MS);
+        h.place_wanted = false;
+        let mut turns: Vec<Turn> = Vec::new();
+        h.waiting
+            .retain(|id| h.jobs.get(id).is_some_and(|l| l.queued() > 0));
+        for id in &h.waiting {
+            let live = &h.jobs[id];
+            if now >= live.not_before && !live.finishing {
+                let over = !within_guarantee(h, &self.settings, live);
+                // Jobs with few tasks running go first: neither a swarm nor a large
+                // array keeps the others waiting.
+                let running = live.placed.len() as u32 / 8;
+                let rank = std::cmp::Reverse(live.rec.rank);
+                turns.push((rank, over, running, live.arrival, id.clone()));
+            }
+        }
+        turns.sort();
+        let mut round = Round {
+            left: ROUND_MAX,
+            failed: Vec::new(),
+        };
+        let mut unplaced = Vec::new();
+        for (_, _, _, _, id) in turns {
+            if self.place_job(&id, &mut round) {
+                unplaced.push(id);
+            }
+        }
+        if round.left == 0 {
+            if let Some(h) = &mut self.holder {
+                h.place_wanted = true;
+            }
+        }
+        for id in unplaced {
+            self.make_room(&id);
+        }
+    }
+
+    /// Places a job's queued tasks; true if one found no machine.
+    fn place_job(&mut self, id: &JobId, round: &mut Round) -> bool {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return false;
+        };
+        let Some(rec) = h.jobs.get(id).map(|l| l.rec.clone()) else {
+            return false;
+        };
+        if round.failed.iter().any(|f| same_demand(f, &rec)) {
+            return true;
+        }
+        while round.left > 0 {
+            if !within_limit(h, &self.settings, &rec) {
+                return false;
+            }
+            let Some(index) = h.jobs.get_mut(id).and_then(Live::next_queued) else {
+                return false;
+            };
+            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id) else {
+                if !rec.one_zone && !rec.scatter {
+                    round.failed.push(rec);
+                }
+                return true;
+            };
+            round.left -= 1;
+            let attempt = h.next_attempt();
+            let zone = h.machines[&machine].zone.clone();
+            debug!("task {id}/{index} goes to {machine}");
+            let placement = Placement {
+                machine,
+                zone,
+                attempt,
+                phase: Phase::Committing,
+                since: now,
+                halted: None,
+                sends: 0,
+            };
+            h.put(id, index, placement);
+            let chunk = index / rec.chunk.max(1);
+            let urgency = Rank::Critical as u8 - rec.rank as u8;
+            h.to_flush.insert((urgency, id.clone(), chunk));
+        }
+        false
+    }
+
+    /// Stops tasks of lower rank where that makes room for a job that found none.
+    fn make_room(&mut self, id: &JobId) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(live) = h.jobs.get(id) else {
+            return;
+        };
+        if live.rec.rank <= Rank::Normal || now < live.preempting {
+            return;
+        }
+        let mut victims = Vec::new();
+        let mut used = Vec::new();
+        for _ in 0..live.queued().min(8) {
+            let Some((machine, tasks)) = cheapest_victims(h, &self.catalog, live, now, &used)
+            else {
+                break;
+            };
+            used.push(machine);
+            victims.extend(tasks);
+        }
+        if victims.is_empty() {
+            return;
+        }
+        if let Some(live) = h.jobs.get_mut(id) {
+            live.preempting = now.after(PREEMPT_S);
+        }
+        for task in victims {
+            log::info!("task {task} makes room for {id}");
+            self.halt(&task);
+        }
+    }
+}
+
+struct Round {
+    left: usize,
+    /// Demands that found no machine: others like them won't either.
+    failed: Vec<Rc<JobRec>>,
+}
+
+fn same_demand(a: &JobRec, b: &JobRec) -> bool {
+    a.need == b.need
+        && a.spot == b.spot
+        && a.zone == b.zone
+        && a.types == b.types
+        && !b.one_zone
+        && !b.scatter
+}
+
+/// Whether one more task stays within its team's limit. Every task that isn't proven
+/// gone counts.
+pub(crate) fn within_limit(h: &Holder, settings: &Settings, rec: &JobRec) -> bool {
+    let teams = &settings.platform.facts.teams;
+    let Some(team) = teams.iter().find(|t| t.name == rec.team) else {
+        return false;
+    };
+    let used = h.teams.get(&rec.team).copied().unwrap_or_default();
+    let fits = |used: f64, need: f64, max: f64| max <= 0.0 || used + need <= max + 1e-6;
+    fits(used.cpus, rec.need.cpus, team.cpus_max) && fits(used.gpus, rec.need.gpus, team.gpus_max)
+}
+
+/// Whether a task fits into what its team is guaranteed.
+fn within_guarantee(h: &Holder, settings: &Settings, live: &Live) -> bool {
+    let teams = &settings.platform.facts.teams;
+    let Some(team) = teams.iter().find(|t| t.name == live.rec.team) else {
+        return false;
+    };
+    if team.gpus <= 0.0 && team.cpus <= 0.0 {
+        return false;
+    }
+    let used = h.teams.get(&live.rec.team).copied().unwrap_or_default();
+    let need = live.rec.need;
+    let fits = |used: f64, need: f64, sure: f64| sure <= 0.0 || used + need <= sure + 1e-6;
+    fits(used.cpus, need.cpus, team.cpus) && fits(used.gpus, need.gpus, team.gpus)
+}
+
+/// Whether a machine may take this job's next task, its room apart.
+fn allowed(live: &Live, class: &ClassInfo, m: &Machine) -> bool {
+    let rec = &live.rec;
+    if m.spot && !rec.spot {
+        return false;
+    }
+    if rec.types.as_ref().is_some_and(|t| !t.contains(&class.name)) {
+        return false;
+    }
+    if rec.zone.as_ref().is_some_and(|z| **z != *m.zone) {
+        return false;
+    }
+    // Tasks in doubt count: they may be there.
+    if rec.one_zone && live.placed.values().any(|p| p.zone != m.zone) {
+        return false;
+    }
+    if rec.scatter {
+        let most = rec.count.div_ceil(2) as usize;
+        let there = live.placed.values().filter(|p| p.zone == m.zone).count();
+        if there >= most {
+            return false;
+        }
+    }
+    true
+}
+
+/// Whether a machine takes tasks at all now.
+fn usable(m: &Machine, settings: &Settings, now: Time) -> bool {
+    let quiet = settings.platform.facts.workers.report_s * FRESH_REPORTS;
+    m.up.is_some()
+        && m.doomed.is_none()
+        && m.notice.is_none()
+        && m.session > 0
+        && (m.held.is_some() || now.since(m.seen) < quiet)
+        && now >= m.full_until
+        && m.health.rested(now)
+}
+
+pub(crate) fn free_room(class: &ClassInfo, m: &Machine) -> Room {
+    let mut free = class.room;
+    free.add(m.used, -1.0);
+    free
+}
+
+/// The machine where a job's next task starts soonest and costs least.
+fn pick(
+    h: &Holder,
+    catalog: &[ClassInfo],
+    settings: &Settings,
+    now: Time,
+    id: &JobId,
+) -> Option<MachineId> {
+    let live = h.jobs.get(id)?;
+    let mut best: Option<(f64, &MachineId)> = None;
+    for (name, m) in &h.machines {
+        let Some(class) = catalog.get(m.class) else {
+            continue;
+        };
+        let free = free_room(class, m);
+        if !free.holds(live.rec.need) || !usable(m, settings, now) || !allowed(live, class, m) {
+            continue;
+        }
+        let cost = cost(h, live, class, m, free);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, name));
+        }
+    }
+    best.map(|(_, name)| name.clone())
+}
+
+fn cost(h: &Holder, live: &Live, class: &ClassInfo, m: &Machine, free: Room) -> f64 {
+    let rec = &live.rec;
+    let free_share = free.gpus / class.room.gpus.max(1.0);
+    let mut cost = fetch_s(h, rec, class, m) + FREE_COST * free_share;
+    if rec.form == Form::Service {
+        // One machine's loss shall cost a job as little as can be.
+        let same = m
+            .tasks
+            .iter()
+            .filter(|t| h.jobs.get(&t.job).is_some_and(|l| Rc::ptr_eq(&l.rec, rec)));
+        cost += SPREAD_COST * same.count() as f64;
+    }
+    if m.spot {
+        cost -= SPOT_GAIN;
+    }
+    cost
+}
+
+/// Seconds until the image would be there. Images fetched at once share the rate.
+fn fetch_s(h: &Holder, rec: &JobRec, class: &ClassInfo, m: &Machine) -> f64 {
+    if m.has_image(&rec.image) {
+        return 0.0;
+    }
+    let whole = rec.image_gb / class.fetch_gb_s;
+    let mut others: Vec<(&Image, f64)> = Vec::new();
+    for t in &m.tasks {
+        let Some(l) = h.jobs.get(&t.job) else {
+            continue;
+        };
+        let coming = l
+            .placed
+            .get(&t.index)
+            .is_some_and(|p| !matches!(p.phase, Phase::Running | Phase::Flushing));
+        if !coming || m.has_image(&l.rec.image) {
+            continue;
+        }
+        if l.rec.image == rec.image {
+            return whole / 2.0;
+        }
+        if others.iter().all(|(i, _)| *i != &l.rec.image) {
+            others.push((&l.rec.image, l.rec.image_gb / class.fetch_gb_s));
+        }
+    }
+    whole + others.iter().map(|(_, s)| s.min(whole)).sum::<f64>()
+}
+
+/// The machine on which the least work of lower rank stands in a task's way.
+fn cheapest_victims(
+    h: &Holder,
+    catalog: &[ClassInfo],
+    live: &Live,
+    now: Time,
+    used: &[MachineId],
+) -> Option<(MachineId, Vec<TaskId>)> {
+    let mut best: Option<(f64, &MachineId, Vec<TaskId>)> = None;
+    for (name, m) in &h.machines {
+        let Some(class) = catalog.get(m.class) else {
+            continue;
+        };
+        let closed = m.up.is_none() || m.doomed.is_some() || m.notice.is_some();
+        if closed || used.contains(name) || !allowed(live, class, m) || !m.health.rested(now) {
+            continue;
+        }
+        let Some((loss, tasks)) = victims_on(h, class, live, m) else {
+            continue;
+        };
+        let cost = loss + fetch_s(h, &live.rec, class, m);
+        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            best = Some((cost, name, tasks));
+        }
+    }
+    best.map(|(_, name, tasks)| (name.clone(), tasks))
+}
+
+/// Which tasks to stop on one machine, and what that throws away.
+fn victims_on(
+    h: &Holder,
+    class: &ClassInfo,
+    live: &Live,
+    m: &Machine,
+) -> Option<(f64, Vec<TaskId>)> {
+    let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
+    for t in &m.tasks {
+        let other = h.jobs.get(&t.job)?;
+        let p = other.placed.get(&t.index)?;
+        let started = matches!(p.phase, Phase::Fetching | Phase::Running);
+        if other.rec.rank < live.rec.rank && p.halted.is_none() && started {
+            let ran = h.heard.since(p.since).min(other.rec.checkpoint_s.max(1e9));
+            let saved = other.rec.checkpoint_s > 0.0;
+            let loss = if saved { 3.0 } else { 5.0 + ran * 0.2 };
+            lower.push((loss, t, other.rec.need));
+        }
+    }
+    lower.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (mut free, mut loss, mut out) = (free_room(class, m), 0.0, Vec::new());
+    for (cost, task, need) in lower {
+        if free.holds(live.rec.need) {
+            break;
+        }
+        free.add(need, 1.0);
+        loss += cost;
+        out.push(task.clone());
+    }
+    (free.holds(live.rec.need) && !out.is_empty()).then_some((loss, out))
+}
--- /dev/null
+++ b/src/core/records.rs
@@ -0,0 +1,204 @@
+//! What the controllers keep at the state service. All keys share one prefix, so
+//! that one follow sees every change.
+
+use crate::ids::{Attempt, Image, JobId, MachineId, Member, Number};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The prefix of every key.
+pub const PREFIX: &str = "s/";
+/// Listing starts behind this key: final stances are read by name when asked for,
+/// since they are kept for good and grow without bound.
+pub const LIST_AFTER: &str = "s/end/~";
+
+/// The name of a record.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    Leader,
+    Number,
+    Plan,
+    Block(u32),
+    Job(JobId),
+    Run(JobId, u32),
+    End(JobId),
+}
+
+impl Key {
+    /// Reads a key's path; `None` for paths that aren't ours.
+    pub fn parse(path: &str) -> Option<Self> {
+        let (kind, rest) = path.strip_prefix(PREFIX)?.split_once('/')?;
+        match (kind, rest) {
+            ("own", "leader") => Some(Self::Leader),
+            ("own", "number") => Some(Self::Number),
+            ("own", "plan") => Some(Self::Plan),
+            ("own", other) => other.strip_prefix("block/")?.parse().ok().map(Self::Block),
+            ("job", id) => JobId::parse(id).map(Self::Job),
+            ("end", id) => JobId::parse(id).map(Self::End),
+            ("run", rest) => {
+                let (id, chunk) = rest.split_once('/')?;
+                Some(Self::Run(JobId::parse(id)?, chunk.parse().ok()?))
+            }
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leader => write!(f, "{PREFIX}own/leader"),
+            Self::Number => write!(f, "{PREFIX}own/number"),
+            Self::Plan => write!(f, "{PREFIX}own/plan"),
+            Self::Block(k) => write!(f, "{PREFIX}own/block/{k}"),
+            Self::Job(id) => write!(f, "{PREFIX}job/{id}"),
+            Self::Run(id, chunk) => write!(f, "{PREFIX}run/{id}/{chunk}"),
+            Self::End(id) => write!(f, "{PREFIX}end/{id}"),
+        }
+    }
+}
+
+/// Who leads, and which of its processes: a restarted one has another `boot`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRec {
+    pub member: Member,
+    pub boot: u64,
+    pub number: Number,
+}
+
+/// The highest number ever given.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NumberRec {
+    pub highest: Number,
+}
+
+/// A block: who holds it and under which number. Starts are committed on the
+/// condition that this record is unchanged.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BlockRec {
+    pub holder: Member,
+    pub boot: u64,
+    pub number: Number,
+}
+
+/// One request to rent, written before it is sent, so that a new leader can repeat
+/// it under the same name and learn its machines instead of renting again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HireRec {
+    pub name: String,
+    pub class: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+}
+
+/// The leader's plan of a tick: wanted counts and the requests to rent under way.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlanRec {
+    pub number: Number,
+    pub wanted: Vec<(String, bool, u32)>,
+    pub hires: Vec<HireRec>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Form {
+    Batch,
+    Service,
+}
+
+/// Higher ranks compare as greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rank {
+    Idle,
+    Normal,
+    Urgent,
+    Critical,
+}
+
+/// An amount of a machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub mem: f64,
+}
+
+/// Room for rounding when amounts are added and taken away many times.
+const SLACK: f64 = 1e-6;
+
+impl Room {
+    pub fn add(&mut self, other: Room, times: f64) {
+        self.cpus += other.cpus * times;
+        self.gpus += other.gpus * times;
+        self.mem += other.mem * times;
+    }
+
+    /// Whether `need` fits into this much free room.
+    pub fn holds(&self, need: Room) -> bool {
+        need.cpus <= self.cpus + SLACK
+            && need.gpus <= self.gpus + SLACK
+            && need.mem <= self.mem + SLACK
+    }
+
+    /// The largest share that this takes of a whole.
+    pub fn share_of(&self, whole: Room) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.mem, whole.mem))
+    }
+}
+
+/// A job as its user submitted it, and what became of it since.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRec {
+    pub class: String,
+    pub team: String,
+    pub form: Form,
+    pub rank: Rank,
+    pub count: u32,
+    pub need: Room,
+    pub image: Image,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub scatter: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+    /// Tasks per `run` record. Kept here, since settings may change.
+    pub chunk: u32,
+    pub block: u32,
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+/// One placed task: its index, attempt, machine, and that machine's zone.
+pub type Placed = (u32, Attempt, MachineId, String);
+
+/// One chunk of a job's tasks: ranges of finished ones, and those placed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RunRec {
+    pub done: Vec<(u32, u32)>,
+    pub placed: Vec<Placed>,
+}
+
+/// How a job ended, for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    Done,
+    Withdrawn,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    Leader(LeaderRec),
+    Number(NumberRec),
+    Plan(PlanRec),
+    Block(BlockRec),
+    Job(Box<JobRec>),
+    Run(RunRec),
+    End(Ending),
+}
--- /dev/null
+++ b/src/core/workers.rs
@@ -0,0 +1,659 @@
+//! Reports and their answers, and the proofs that a task is gone.
+//!
+//! A task may be placed again, and its quota and place are free, only when
+//! 1. a report that shows this block's number, newer than any before it, lists the
+//!    attempt as ended or doesn't list it; or
+//! 2. the worker had shown this number, its lease must be over by now, counted from
+//!    the last 200 this process sent it, and the block was then still unchanged at
+//!    the state service; or
+//! 3. the cloud said that its machine is deleted.
+
+use super::blocks::{Machine, Phase};
+use super::health::{BAD_JOB_MACHINES, Health, job_pause_s};
+use super::*;
+use log::{debug, info, warn};
+use std::collections::{BTreeSet, HashMap};
+
+/// A start is sent this often before its placement is given up.
+const SENDS_MAX: u32 = 4;
+/// After `cancel_s` times this, a machine that may still run a withdrawn task is
+/// deleted; the rest of the time is for the cloud to answer.
+const CANCEL_SHARE: f64 = 0.6;
+/// Without any report for this many report intervals, a holder whose machines all
+/// reported before takes itself to be cut off from them.
+const DEAF_REPORTS: f64 = 5.0;
+/// Seconds a machine of an older leadership has to report before it counts as silent.
+const FIRST_REPORT_S: f64 = 12.0;
+/// Repeated saving halts turn into plain ones after the grace and this long.
+const GRACE_S: f64 = 1.0;
+/// Pause before a machine that refused a task for want of room gets another.
+const FULL_S: f64 = 3.0;
+/// A sick machine's tasks get this long to stop before it is deleted.
+const DRAIN_S: f64 = 15.0;
+/// Names of deleted machines are kept for late copies of their reports.
+const GONE_S: f64 = 900.0;
+
+impl Core {
+    /// Sends a worker to the holder, if it is known.
+    pub(crate) fn steer(&mut self, req: ReqId) {
+        let leader = self.known_leader();
+        self.answer(req, Reply::ok(421, steer_body(leader.as_ref())));
+    }
+
+    /// Longest time without sight of the state service in which reports are still
+    /// answered. A task cancelled meanwhile, unknown to us, must be gone in time even
+    /// if the last answer we gave keeps its worker's lease alive for all of it.
+    fn blind_limit_s(&self) -> f64 {
+        let w = &self.settings.platform.facts.workers;
+        w.cancel_s - w.lease_s * (1.0 + DRIFT) - MARGIN_S
+    }
+
+    pub(crate) fn on_report(&mut self, req: ReqId, report: Report) {
+        let blind = self.blind_s();
+        let limit = self.blind_limit_s();
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return self.steer(req);
+        };
+        h.heard = now;
+        // Somebody newer gives commands. Its answers count, ours would be dropped.
+        if report.number > h.number.0 {
+            return self.steer(req);
+        }
+        if blind > limit {
+            return self.answer(req, Reply::later(503, 1, "cut off from the state service"));
+        }
+        let id = MachineId::from(report.machine.as_str());
+        if h.gone.contains_key(&id) {
+            return self.answer(req, Reply::later(503, 5, "this machine is deleted"));
+        }
+        self.adopt(&id, &report);
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(m) = h.machines.get_mut(&id) else {
+            return;
+        };
+        let (number, fresh) = (h.number, (report.session, report.seq) > (m.session, m.seq));
+        if !fresh {
+            // A copy, or overtaken by a newer one: it is answered, since its worker
+            // may still wait, but nothing in it is news.
+            m.answered = now;
+            return self.answer(req, Reply::ok(200, commands_body(number, &[])));
+        }
+        (m.session, m.seq, m.seen) = (report.session, report.seq, now);
+        let proof = report.number == number.0;
+        m.shown |= proof;
+        if m.up.is_none() {
+            m.up = Some(now);
+            m.empty.get_or_insert(now);
+            h.place_wanted = true;
+            let boot = now.since(m.since);
+            info!(
+                "machine {id} ({}, {}) is up after {boot:.0} s",
+                m.class_name, m.zone
+            );
+        }
+        m.notice = report.notice_s.map(|s| now.after(s.0));
+        if let Some((old, until)) = m.held.take() {
+            h.releases.remove(&(until, id.clone()));
+            m.answered = now;
+            self.answer(old, Reply::ok(200, commands_body(number, &[])));
+        }
+        self.read_tasks(&id, &report, proof);
+        let commands = self.commands(&id, Some(&report));
+        if commands.is_empty() && self.hold_report(&id, req) {
+            return;
+        }
+        self.send_commands(&id, req, &commands);
+    }
+
+    /// A machine nobody here knows reports: an earlier leader's, or one whose rental
+    /// was carried out late. It is used, or returned when it isn't wanted.
+    fn adopt(&mut self, id: &MachineId, report: &Report) {
+        let now = self.now;
+        let class = self.catalog.iter().position(|c| c.name == report.class);
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if let Some(m) = h.machines.get_mut(id) {
+            // Known by name only, or from before the catalogue was.
+            if m.class == usize::MAX {
+                m.class = class.unwrap_or(usize::MAX);
+                m.class_name = report.class.as_str().into();
+                (m.zone, m.spot) = (report.zone.as_str().into(), report.spot);
+            }
+            return;
+        }
+        let class_name = report.class.as_str();
+        let machine = Machine::new(class, class_name, &report.zone, report.spot, now);
+        h.add_machine(id.clone(), machine);
+    }
+
+    /// Whether the answer may wait for a command. Only a quiet report waits, and
+    /// less long than until the next one is due.
+    fn hold_report(&mut self, id: &MachineId, req: ReqId) -> bool {
+        let hold = self.settings.tuning.report_hold * self.settings.platform.facts.workers.report_s;
+        let until = self.now.after(hold.min(2.0));
+        let Some(h) = &mut self.holder else {
+            return false;
+        };
+        let Some(m) = h.machines.get_mut(id) else {
+            return false;
+        };
+        // A worker without our number yet gets it at once.
+        if hold <= 0.0 || !m.shown {
+            return false;
+        }
+        m.held = Some((req, until));
+        h.releases.insert((until, id.clone()));
+        true
+    }
+
+    /// Answers a waiting report now, if there is one and a command for it.
+    pub(crate) fn answer_held(&mut self, id: &MachineId) {
+        let held = self.holder.as_ref().and_then(|h| h.machines.get(id)?.held);
+        let Some((req, until)) = held else {
+            return;
+        };
+        let commands = self.commands(id, None);
+        if commands.is_empty() {
+            return;
+        }
+        if let Some(h) = &mut self.holder {
+            h.releases.remove(&(until, id.clone()));
+        }
+        self.send_commands(id, req, &commands);
+    }
+
+    /// Answers the reports whose time to wait is over.
+    pub(crate) fn release_reports(&mut self) {
+        loop {
+            let now = self.now;
+            let Some(h) = &mut self.holder else {
+                return;
+            };
+            match h.releases.first() {
+                Some((until, _)) if *until <= now => {}
+                _ => return,
+            }
+            let Some((_, id)) = h.releases.pop_first() else {
+                return;
+            };
+            let Some((req, _)) = h.machines.get(&id).and_then(|m| m.held) else {
+                continue;
+            };
+            let commands = self.commands(&id, None);
+            self.send_commands(&id, req, &commands);
+        }
+    }
+
+    fn send_commands(&mut self, id: &MachineId, req: ReqId, commands: &[Command]) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if let Some(m) = h.machines.get_mut(id) {
+            m.answered = now;
+            m.held = None;
+        }
+        let body = commands_body(h.number, commands);
+        self.answer(req, Reply::ok(200, body));
+    }
+
+    /// Takes in what a report lists, and what it doesn't.
+    fn read_tasks(&mut self, id: &MachineId, report: &Report, proof: bool) {
+        let now = self.now;
+        let mut listed = BTreeSet::new();
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else {
+                continue;
+            };
+            self.read_task(id, &task, t);
+            listed.insert((task, t.attempt));
+        }
+        if !proof {
+            return;
+        }
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(m) = h.machines.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        for task in tasks {
+            let Some(p) = h
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|l| l.placed.get_mut(&task.index))
+            else {
+                continue;
+            };
+            if listed.contains(&(task.clone(), p.attempt)) {
+                continue;
+            }
+            match p.phase {
+                Phase::Committing | Phase::Ready => {}
+                // The answer that carried the start was lost: its worker reported
+                // again, so it has dropped that answer for good. The same attempt
+                // was never there, so it can be sent once more.
+                Phase::Sent if p.halted.is_none() && p.sends < SENDS_MAX => p.phase = Phase::Ready,
+                _ => {
+                    debug!("task {task} is gone from {id}");
+                    h.take(now, &task);
+                }
+            }
+        }
+    }
+
+    fn read_task(&mut self, id: &MachineId, task: &TaskId, t: &ReportTask) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(live) = h.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(p) = live.placed.get_mut(&task.index) else {
+            return;
+        };
+        if p.machine != *id || p.attempt != t.attempt {
+            return;
+        }
+        let phase = match t.stance {
+            TaskStance::Fetching => Phase::Fetching,
+            TaskStance::Running => Phase::Running,
+            TaskStance::Flushing => Phase::Flushing,
+            TaskStance::Ended => return self.read_end(id, task, t.cause),
+        };
+        if p.phase == phase {
+            return;
+        }
+        (p.phase, p.since) = (phase, now);
+        if phase == Phase::Running {
+            let (image, gb) = (live.rec.image.clone(), live.rec.image_gb);
+            if let Some(m) = h.machines.get_mut(id) {
+                let cache = self.catalog.get(m.class).map_or(f64::MAX, |c| c.cache_gb);
+                m.use_image(&image, gb, cache);
+            }
+        }
+    }
+
+    /// An attempt ended. That it did is true however old the report is.
+    fn read_end(&mut self, id: &MachineId, task: &TaskId, cause: Option<Cause>) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        match cause {
+            Some(Cause::Done) => {
+                if let Some(m) = h.machines.get_mut(id) {
+                    m.health.succeeded();
+                }
+                return h.set_done(now, task);
+            }
+            Some(Cause::Error) => self.task_failed(id, task),
+            Some(Cause::Full) => {
+                warn!("machine {id} has no room for {task}");
+                if let Some(m) = h.machines.get_mut(id) {
+                    m.full_until = now.after(FULL_S);
+                }
+            }
+            Some(Cause::Unknown) => {
+                // Its description isn't there yet, or never will be.
+                if let Some(live) = h.jobs.get_mut(&task.job) {
+                    live.fails += 1;
+                    live.not_before = now.after(2.0 * f64::from(live.fails.min(8)));
+                }
+            }
+            _ => {}
+        }
+        if let Some(h) = &mut self.holder {
+            h.take(now, task);
+        }
+    }
+
+    fn task_failed(&mut self, id: &MachineId, task: &TaskId) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(live) = h.jobs.get_mut(&task.job) else {
+            return;
+        };
+        live.fails += 1;
+        live.failed_on.insert(id.clone());
+        live.not_before = now.after(job_pause_s(live.fails));
+        let blame = live.failed_on.len() < BAD_JOB_MACHINES;
+        warn!(
+            "task {task} failed on {id}, failure {} in a row",
+            live.fails
+        );
+        let Some(m) = h.machines.get_mut(id) else {
+            return;
+        };
+        // A job that fails everywhere mustn't take the fleet down with it.
+        if blame {
+            m.health.failed(now, &task.job);
+        }
+        if m.health.sick() && m.doomed.is_none() {
+            warn!("machine {id} fails what it is given: to be replaced");
+            m.doomed = Some(now.after(DRAIN_S));
+        }
+    }
+
+    /// What a machine is to do now. Derived from what is known, not from what was
+    /// sent: a lost answer is made good by the next one.
+    fn commands(&mut self, id: &MachineId, report: Option<&Report>) -> Vec<Command> {
+        let now = self.now;
+        // A start needs sight of the state service: a withdrawal may stand there.
+        let blind = self.blind();
+        let Some(h) = &mut self.holder else {
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        let mut listed = HashMap::new();
+        for t in report.into_iter().flat_map(|r| &r.tasks) {
+            if let Some(task) = TaskId::parse(&t.task) {
+                listed.insert((task.clone(), t.attempt), t.stance);
+                out.extend(stray_command(h, id, &task, t));
+            }
+        }
+        let Some(m) = h.machines.get(id) else {
+            return out;
+        };
+        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        let starts = !blind && m.doomed.is_none();
+        for task in tasks {
+            let Some(live) = h.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let save_s = live.rec.save_s;
+            let grace = live.withdrawn.is_none() && live.rec.checkpoint_s > 0.0;
+            let Some(p) = live.placed.get_mut(&task.index) else {
+                continue;
+            };
+            let (name, attempt) = (task.to_string(), p.attempt);
+            match (p.halted, p.phase) {
+                (None, Phase::Ready) if starts => {
+                    (p.phase, p.since) = (Phase::Sent, now);
+                    p.sends += 1;
+                    out.push(Command::Start {
+                        task: name,
+                        attempt,
+                    });
+                }
+                (Some(_), Phase::Committing | Phase::Ready) | (None, _) => {}
+                (Some(at), phase) => {
+                    let waited = now.since(at);
+                    let saves = grace && waited < save_s + GRACE_S;
+                    if phase == Phase::Flushing && saves {
+                        continue;
+                    }
+                    out.push(Command::Halt {
+                        task: name,
+                        attempt,
+                        grace_s: if saves { save_s + GRACE_S } else { 0.0 },
+                    });
+                }
+            }
+        }
+        out
+    }
+
+    /// Tells a task to stop, as soon as its machine can hear it.
+    pub(crate) fn halt(&mut self, task: &TaskId) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let Some(p) = h
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|l| l.placed.get_mut(&task.index))
+        else {
+            return;
+        };
+        p.halted.get_or_insert(now);
+        let (phase, machine) = (p.phase, p.machine.clone());
+        if phase == Phase::Ready {
+            // Committed but never sent: it can't be there.
+            h.take(now, task);
+        } else {
+            self.answer_held(&machine);
+        }
+    }
+
+    // ---- what time brings
+
+    pub(crate) fn holder_chores(&mut self) {
+        if self.holder.is_none() {
+            return;
+        }
+        self.check_deaf();
+        self.check_leases();
+        self.check_cancels();
+        self.check_silent();
+        self.drain();
+        let now = self.now;
+        if let Some(h) = &mut self.holder {
+            h.gone.retain(|_, at| now.since(*at) < GONE_S);
+        }
+    }
+
+    /// A holder that hears none of its machines while it sees the state service is
+    /// cut off from them, and lets another controller try.
+    fn check_deaf(&mut self) {
+        let w = &self.settings.platform.facts.workers;
+        let patience = w.report_s * DEAF_REPORTS;
+        let Some(h) = &self.holder else {
+            return;
+        };
+        let up = h.machines.values().filter(|m| m.up.is_some()).count();
+        let settled = self.now.since(h.since) > FIRST_REPORT_S;
+        let deaf = up >= 2 && settled && self.now.since(h.heard) > patience;
+        if deaf && !self.blind() && !self.settings.platform.siblings.is_empty() {
+            self.resign("no worker reaches it");
+        }
+    }
+
+    /// Proof 2: leases that must be over.
+    fn check_leases(&mut self) {
+        let lease = self.settings.platform.facts.workers.lease_s * (1.0 + DRIFT) + MARGIN_S;
+        let (now, fresh) = (self.now, self.fresh_at);
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut lost = Vec::new();
+        for (id, m) in &h.machines {
+            let over = m.answered.after(lease);
+            // The read was sent after the lease's end, and the block is still ours.
+            if m.shown && m.held.is_none() && !m.tasks.is_empty() && fresh > over && now > over {
+                lost.push((id.clone(), m.tasks.iter().cloned().collect::<Vec<_>>()));
+            }
+        }
+        for (id, tasks) in lost {
+            warn!(
+                "the lease of machine {id} is over, with {} tasks",
+                tasks.len()
+            );
+            for task in tasks {
+                let live = h.jobs.get(&task.job);
+                let phase = live.and_then(|l| Some(l.placed.get(&task.index)?.phase));
+                if phase != Some(Phase::Committing) {
+                    h.take(now, &task);
+                }
+            }
+        }
+    }
+
+    /// Deletes machines that may still run a withdrawn task when its time runs out.
+    fn check_cancels(&mut self) {
+        let bound = self.settings.platform.facts.workers.cancel_s * CANCEL_SHARE;
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut late = BTreeSet::new();
+        for live in h.jobs.values() {
+            if live.withdrawn.is_some_and(|at| now.since(at) > bound) {
+                late.extend(live.placed.values().map(|p| p.machine.clone()));
+            }
+        }
+        for id in late {
+            h.doom(now, &id, "a cancelled task may still be on it");
+        }
+    }
+
+    /// Machines that have gone silent are replaced before their tasks wait for long.
+    fn check_silent(&mut self) {
+        let w = &self.settings.platform.facts.workers;
+        let silent_s = w.lease_s * self.settings.tuning.silent;
+        let (now, blind) = (self.now, self.blind());
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut silent = Vec::new();
+        for (id, m) in &h.machines {
+            let quiet = now.since(m.seen.max(h.since));
+            if m.up.is_some() && m.held.is_none() && quiet > silent_s {
+                silent.push(id.clone());
+            }
+        }
+        let up = h.machines.values().filter(|m| m.up.is_some()).count();
+        // When half of them are silent, the trouble is a cut: deleting them would
+        // cost the fleet.
+        if blind || now.since(h.since) < FIRST_REPORT_S || silent.len() * 2 > up.max(2) {
+            return;
+        }
+        for id in silent {
+            h.doom(now, &id, "it is silent");
+        }
+    }
+
+    /// Tasks on machines that are about to go are stopped: at once where they can
+    /// save, and on machines to be replaced.
+    fn drain(&mut self) {
+        let now = self.now;
+        let Some(h) = &self.holder else {
+            return;
+        };
+        let mut stop = Vec::new();
+        for m in h.machines.values() {
+            let sick = m.doomed.is_some();
+            if !sick && m.notice.is_none_or(|at| at <= now) {
+                continue;
+            }
+            for task in &m.tasks {
+                let Some(live) = h.jobs.get(&task.job) else {
+                    continue;
+                };
+                let Some(p) = live.placed.get(&task.index) else {
+                    continue;
+                };
+                let moves = live.rec.form == Form::Service || live.rec.checkpoint_s > 0.0;
+                if p.halted.is_none() && (sick || moves) && p.phase != Phase::Committing {
+                    stop.push(task.clone());
+                }
+            }
+        }
+        for task in stop {
+            self.halt(&task);
+        }
+    }
+}
+
+/// What to do about a listed attempt that isn't a present placement.
+fn stray_command(h: &Holder, id: &MachineId, task: &TaskId, t: &ReportTask) -> Option<Command> {
+    let live = h.jobs.get(&task.job);
+    let placed = live.and_then(|l| l.placed.get(&task.index));
+    if placed.is_some_and(|p| p.machine == *id && p.attempt == t.attempt) {
+        return None;
+    }
+    let (name, attempt) = (task.to_string(), t.attempt);
+    if t.stance != TaskStance::Ended {
+        return Some(Command::Halt {
+            task: name,
+            attempt,
+            grace_s: 0.0,
+        });
+    }
+    // A result is cleared only once it is written: after a clear, nothing else
+    // tells that the task is done.
+    let unwritten = live.is_some_and(|l| {
+        let chunk = task.index / l.rec.chunk.max(1);
+        t.cause == Some(Cause::Done)
+            && l.withdrawn.is_none()
+            && l.chunks.get(&chunk).is_some_and(|c| c.unwritten)
+    });
+    (!unwritten).then_some(Command::Clear {
+        task: name,
+        attempt,
+    })
+}
+
+impl Machine {
+    pub(crate) fn new(
+        class: Option<usize>,
+        class_name: &str,
+        zone: &str,
+        spot: bool,
+        now: Time,
+    ) -> Self {
+        Self {
+            class: class.unwrap_or(usize::MAX),
+            class_name: class_name.into(),
+            zone: zone.into(),
+            spot,
+            since: now,
+            up: None,
+            session: 0,
+            seq: 0,
+            shown: false,
+            seen: now,
+            answered: now,
+            notice: None,
+            tasks: BTreeSet::new(),
+            used: Room::default(),
+            doomed: None,
+            deleting: false,
+            held: None,
+            images: Vec::new(),
+            health: Health::default(),
+            empty: Some(now),
+            full_until: Time(0),
+        }
+    }
+}
+
+impl Holder {
+    /// Enters a machine, with what is already known to be placed on it.
+    pub(crate) fn add_machine(&mut self, id: MachineId, mut machine: Machine) {
+        for (job, live) in &self.jobs {
+            for (index, p) in &live.placed {
+                if p.machine == id {
+                    machine.used.add(live.rec.need, 1.0);
+                    machine.tasks.insert(TaskId {
+                        job: job.clone(),
+                        index: *index,
+                    });
+                }
+            }
+        }
+        if !machine.tasks.is_empty() {
+            machine.empty = None;
+        }
+        self.machines.insert(id, machine);
+    }
+
+    /// Decides to delete a machine. Nothing is placed on it from now on.
+    pub(crate) fn doom(&mut self, now: Time, id: &MachineId, why: &str) {
+        if let Some(m) = self.machines.get_mut(id) {
+            if m.doomed.is_none() {
+                info!("machine {id} is to be deleted: {why}");
+                m.doomed = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,129 @@
+//! Names and moments as types of their own, so that one can't be taken for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(pub Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A job, as its user named it.
+    JobId
+);
+name_type!(
+    /// A rented machine, as the cloud named it.
+    MachineId
+);
+name_type!(
+    /// One controller of the service.
+    Member
+);
+name_type!(
+    /// An image: a model's weights with the engine that serves them.
+    Image
+);
+
+/// The longest job id that is taken.
+const JOB_ID_MAX: usize = 64;
+
+impl JobId {
+    /// Takes a job id only in the users' form: lower-case letters, a hyphen, digits.
+    /// Anything else could break out of the key it becomes a part of.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (word, digits) = text.split_once('-')?;
+        let good = !word.is_empty()
+            && !digits.is_empty()
+            && text.len() <= JOB_ID_MAX
+            && word.bytes().all(|b| b.is_ascii_lowercase())
+            && digits.bytes().all(|b| b.is_ascii_digit());
+        good.then(|| Self(text.into()))
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads `job/index`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.rsplit_once('/')?;
+        Some(Self {
+            job: JobId::parse(job)?,
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// One placement of a task. Rises for good: its upper part is the number under
+/// which it was placed, and no two processes ever have the same number.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct Attempt(pub u64);
+
+/// The number (token) under which commands are given to workers.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+pub struct Number(pub u64);
+
+impl Attempt {
+    /// Bits left for the placements made under one number.
+    const COUNT_BITS: u32 = 28;
+
+    /// The `count`th placement under `number`.
+    pub fn new(number: Number, count: u64) -> Self {
+        Self((number.0 << Self::COUNT_BITS) | (count & ((1 << Self::COUNT_BITS) - 1)))
+    }
+}
+
+/// A moment on this process's steady clock, in milliseconds since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The moment `seconds` later.
+    pub fn after(self, seconds: f64) -> Self {
+        Self(self.0 + (seconds.max(0.0) * 1000.0).ceil() as u64)
+    }
+
+    /// Seconds since `earlier`; 0 when that lies ahead.
+    pub fn since(self, earlier: Time) -> f64 {
+        self.0.saturating_sub(earlier.0) as f64 / 1000.0
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,47 @@
+//! The program: arguments, logging, exit codes. Everything else is in the library.
+
+use clap::Parser;
+use salttrestle::settings::Settings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A scheduler for rented fleets that serve language models.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    /// The settings file that the platform hands over (JSON).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Operators' settings that override the embedded defaults.
+    #[arg(long, value_name = "FILE")]
+    properties: Option<PathBuf>,
+    /// Check both files and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let filter = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
+    env_logger::Builder::from_env(filter)
+        .format_target(false)
+        .init();
+    let settings = match Settings::load(&args.config, args.properties.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("salttrestle: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("settings are good");
+        return ExitCode::SUCCESS;
+    }
+    match salttrestle::net::run(settings, rand::random()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("salttrestle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,308 @@
+//! What the platform hands over (JSON) and what operators set (properties).
+
+use crate::ids::Member;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use thiserror::Error;
+
+/// The documented defaults, as they stand in the repository.
+const DEFAULTS: &str = include_str!("../deploy/salttrestle.properties");
+
+/// A setting that ends the start: names file, key and reason in one line.
+#[derive(Debug, Error)]
+#[error("{file}: {key}: {reason}")]
+pub struct SettingsError {
+    pub file: String,
+    pub key: String,
+    pub reason: String,
+}
+
+fn bad(file: &str, key: &str, reason: impl Into<String>) -> SettingsError {
+    SettingsError {
+        file: file.into(),
+        key: key.into(),
+        reason: reason.into().replace('\n', " "),
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Platform {
+    pub member: Member,
+    pub site: String,
+    pub listen: SocketAddrV4,
+    pub peer_listen: SocketAddrV4,
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    pub services: Services,
+    pub facts: Facts,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Sibling {
+    pub member: Member,
+    pub endpoint: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Facts {
+    pub count: u32,
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub resources: Resources,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim on starting (`wait`) or finishing (`finished`) of one class.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Resources {
+    pub max_sockets: usize,
+}
+
+/// Operators' settings; each field is documented in `deploy/salttrestle.properties`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    pub grant_s: f64,
+    pub block_lease_s: f64,
+    pub block_min: f64,
+    pub tick_s: f64,
+    pub rise: f64,
+    pub ceiling: f64,
+    pub window_s: f64,
+    pub headroom: f64,
+    pub budget_share: f64,
+    pub budget_holder: f64,
+    pub report_hold: f64,
+    pub silent: f64,
+    pub boot: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub platform: Platform,
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    /// Reads and checks both files.
+    pub fn load(config: &Path, properties: Option<&Path>) -> Result<Self, SettingsError> {
+        let name = config.display().to_string();
+        let text = read(config, &name)?;
+        let platform = Platform::parse(&text, &name)?;
+        let tuning = match properties {
+            None => Tuning::parse(None)?,
+            Some(path) => {
+                let name = path.display().to_string();
+                Tuning::parse(Some((&name, &read(path, &name)?)))?
+            }
+        };
+        Ok(Self { platform, tuning })
+    }
+}
+
+fn read(path: &Path, name: &str) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|e| bad(name, "(file)", e.to_string()))
+}
+
+impl Platform {
+    /// Reads the platform's settings; unknown fields are ignored.
+    pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        let it: Self =
+            serde_json::from_str(text).map_err(|e| bad(file, &key_of(&e), e.to_string()))?;
+        it.check(file)?;
+        Ok(it)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let f = &self.facts;
+        let positive = [
+            ("facts.workers.report_s", f.workers.report_s),
+            ("facts.workers.lease_s", f.workers.lease_s),
+            ("facts.workers.cancel_s", f.workers.cancel_s),
+            ("facts.state.rps", f.state.rps),
+            ("facts.state.write_rps", f.state.write_rps),
+            ("facts.state.value_kb", f.state.value_kb),
+            ("facts.cloud.rps", f.cloud.rps),
+        ];
+        for (key, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(bad(file, key, "must be a number above 0"));
+            }
+        }
+        if !(f.cloud.list_lag_s.is_finite() && f.cloud.list_lag_s >= 0.0) {
+            return Err(bad(file, "facts.cloud.list_lag_s", "must not be negative"));
+        }
+        if f.state.txn_ops < 4 {
+            return Err(bad(file, "facts.state.txn_ops", "must be at least 4"));
+        }
+        if f.resources.max_sockets < 32 {
+            return Err(bad(
+                file,
+                "facts.resources.max_sockets",
+                "must be at least 32",
+            ));
+        }
+        if f.zones.is_empty() {
+            return Err(bad(file, "facts.zones", "must name a zone"));
+        }
+        if f.workers.cancel_s <= f.workers.lease_s {
+            return Err(bad(
+                file,
+                "facts.workers.cancel_s",
+                "must be longer than facts.workers.lease_s",
+            ));
+        }
+        self.check_members(file)?;
+        self.check_teams(file)
+    }
+
+    fn check_members(&self, file: &str) -> Result<(), SettingsError> {
+        let mut seen = vec![&self.member];
+        for s in &self.siblings {
+            if seen.contains(&&s.member) {
+                return Err(bad(file, "siblings", format!("{} stands twice", s.member)));
+            }
+            seen.push(&s.member);
+        }
+        if self.listen == self.peer_listen {
+            return Err(bad(file, "peer_listen", "must differ from listen"));
+        }
+        Ok(())
+    }
+
+    fn check_teams(&self, file: &str) -> Result<(), SettingsError> {
+        for (at, t) in self.facts.teams.iter().enumerate() {
+            for (key, value) in [
+                ("cpus", t.cpus),
+                ("cpus_max", t.cpus_max),
+                ("gpus", t.gpus),
+                ("gpus_max", t.gpus_max),
+            ] {
+                if !(value.is_finite() && value >= 0.0) {
+                    let key = format!("facts.teams[{at}].{key}");
+                    return Err(bad(file, &key, "must not be negative"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The field a parser's message speaks of, where it names one.
+fn key_of(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    match text.split('`').nth(1) {
+        Some(name) => name.to_string(),
+        None => format!("line {}", error.line()),
+    }
+}
+
+impl Tuning {
+    /// The embedded defaults, with single keys overridden by an operator's file.
+    pub fn parse(over: Option<(&str, &str)>) -> Result<Self, SettingsError> {
+        let mut table = properties("(defaults)", DEFAULTS)?;
+        let mut file = "(defaults)";
+        if let Some((name, text)) = over {
+            file = name;
+            for (key, value) in properties(name, text)? {
+                if table.insert(key.clone(), value).is_none() {
+                    return Err(bad(name, &key, "unknown key"));
+                }
+            }
+        }
+        let num = |key: &str, low: f64, high: f64| number(&table, file, key, low, high);
+        Ok(Self {
+            grant_s: num("leader.grant-s", 0.5, 60.0)?,
+            block_lease_s: num("block.lease-s", 1.0, 600.0)?,
+            block_min: num("block.min-machines", 1.0, 1e6)?,
+            tick_s: num("scale.tick-s", 0.5, 300.0)?,
+            rise: num("scale.rise", 1.0, 50.0)?,
+            ceiling: num("scale.ceiling", 1.0, 1e6)?,
+            window_s: num("scale.window-s", 0.0, 3600.0)?,
+            headroom: num("scale.headroom", 0.0, 2.0)?,
+            budget_share: num("budget.share", 0.05, 1.0)?,
+            budget_holder: num("budget.holder", 0.1, 0.9)?,
+            report_hold: num("report.hold", 0.0, 1.0)?,
+            silent: num("health.silent", 0.3, 100.0)?,
+            boot: num("health.boot", 1.5, 100.0)?,
+        })
+    }
+}
+
+fn properties(file: &str, text: &str) -> Result<HashMap<String, String>, SettingsError> {
+    java_properties::read(text.as_bytes()).map_err(|e| bad(file, "(file)", e.to_string()))
+}
+
+fn number(
+    table: &HashMap<String, String>,
+    file: &str,
+    key: &str,
+    low: f64,
+    high: f64,
+) -> Result<f64, SettingsError> {
+    let text = table.get(key).ok_or_else(|| bad(file, key, "is missing"))?;
+    let value: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| bad(file, key, format!("'{text}' is not a number")))?;
+    if value.is_finite() && (low..=high).contains(&value) {
+        Ok(value)
+    } else {
+        Err(bad(file, key, format!("must lie in {low} to {high}")))
+    }
+}
