Write a chunk once per change, not again and again

Cause: a chunk queued for writing under the urgency of a rank other than the highest was never taken off the queue, so it was committed again as long as the change budget allowed, and new placements waited behind it.

--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -4,7 +4,7 @@
 
 use super::health::Health;
 use super::*;
-use log::{info, warn};
+use log::{debug, info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -156,8 +156,9 @@
     pub(crate) heard: Time,
 }
 
-/// Urgency of a chunk with placements, above it that of one with results only.
-const FLUSH_RESULTS: u8 = 9;
+/// Chunks with placements have the urgency of their rank, 0 to 3; this one is that of
+/// chunks with results only.
+const FLUSH_RESULTS: u8 = 4;
 /// Commits under way at once.
 const FLUSHES: usize = 4;
 /// JSON bytes of chunks in one transaction, below the limit of 64 KiB.
@@ -546,6 +547,9 @@
             return;
         };
         h.flushing = h.flushing.saturating_sub(1);
+        if !matches!(reply, StateReply::Committed { .. }) {
+            debug!("{} chunks not written: {reply:?}", items.len());
+        }
         let mut ready = BTreeSet::new();
         let mut reread = Vec::new();
         for item in &items {
@@ -560,7 +564,7 @@
                     chunk.mark = *ledger;
                     // What came in meanwhile is still to be written.
                     let queued = |u| h.to_flush.contains(&(u, item.job.clone(), item.chunk));
-                    chunk.unwritten = queued(0) || queued(FLUSH_RESULTS);
+                    chunk.unwritten = (0..=FLUSH_RESULTS).any(queued);
                     for machine in make_ready(now, live, &item.placed) {
                         ready.insert(machine);
                     }
@@ -823,7 +827,7 @@
             placed,
         });
         // One commit carries all that is to be written of the chunk.
-        for urgency in [0, FLUSH_RESULTS] {
+        for urgency in 0..=FLUSH_RESULTS {
             h.to_flush.remove(&(urgency, job.clone(), *chunk));
         }
         if let Some(live) = h.jobs.get_mut(job) {
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -157,12 +157,8 @@
             .as_ref()
             .filter(|b| b.holder == *me && b.boot == self.boot);
         match (&self.holder, held) {
-            (Some(h), Some(b)) if h.block_mark == block.mark && h.number == b.number => {
-                if !leads {
-                    self.step_down("its leader's key is gone");
-                }
-            }
-            (Some(_), _) => self.step_down("the block has another holder"),
+            (Some(h), Some(b)) if h.block_mark == block.mark && h.number == b.number && leads => {}
+            (Some(_), _) => self.step_down("its key or its block has changed hands"),
             (None, Some(b)) if leads && self.now >= self.election.rest_until => {
                 let number = b.number;
                 info!("leads and holds the block under number {}", number.0);
--- a/src/http.rs
+++ b/src/http.rs
@@ -85,7 +85,7 @@
     }
 
     /// The next whole message, if it is all there.
-    pub fn next(&mut self) -> Result<Option<Message>, HttpError> {
+    pub fn next_message(&mut self) -> Result<Option<Message>, HttpError> {
         if self.head.is_none() && !self.take_head()? {
             return Ok(None);
         }
--- a/src/net.rs
+++ b/src/net.rs
@@ -443,7 +443,7 @@
                     if pending.is_some() {
                         return !decoder.overfull();
                     }
-                    match decoder.next() {
+                    match decoder.next_message() {
                         Ok(Some(message)) => self.request(key, &message),
                         Ok(None) => return true,
                         Err(error) => {
@@ -452,7 +452,7 @@
                         }
                     }
                 }
-                Role::Client { decoder, call, .. } => match (decoder.next(), *call) {
+                Role::Client { decoder, call, .. } => match (decoder.next_message(), *call) {
                     (Ok(Some(message)), Some(id)) => {
                         *call = None;
                         let close = message.close;
@@ -632,6 +632,9 @@
     // ---- calls
 
     fn start_call(&mut self, id: CallId, op: Op) {
+        if let Op::State(StateOp::Commit { writes, .. }) = &op {
+            debug!("commits {writes:?}");
+        }
         let deadline = self.now().after(op.patience_s());
         let service = op.service();
         let conn = None;
