--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -66,7 +66,10 @@
             Ask::Up => self.on_up(req),
             Ask::Report(report) => self.on_report(req, report),
             Ask::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
-            Ask::Submit(Err(bad)) => self.answer(req, Reply::ok(400, error_body(bad.0))),
+            Ask::Submit(Err(bad)) => {
+                info!("a submission is refused: {}", bad.0);
+                self.answer(req, Reply::ok(400, error_body(&bad.0)));
+            }
             Ask::Poll(id) => self.on_question(req, id, Wish::Poll),
             Ask::Withdraw(id) => self.on_question(req, id, Wish::Withdraw),
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -109,28 +109,39 @@
     Idle,
 }
 
-/// Why a submission is malformed.
+/// Why a submission is malformed: the field, or what the parser said.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BadBody(pub &'static str);
+pub struct BadBody(pub String);
+
+impl From<&'static str> for BadBody {
+    fn from(field: &'static str) -> Self {
+        Self(format!("{field} is invalid"))
+    }
+}
 
 /// Reads and checks a submission. Chunk size and block are for the core to set.
 pub fn submission(body: &[u8]) -> Result<(JobId, JobRec), BadBody> {
-    let b: SubmitBody = decode(body).ok_or(BadBody("not a submission"))?;
-    let id = JobId::parse(&b.id).ok_or(BadBody("id"))?;
+    let mut rest = body;
+    let b: SubmitBody =
+        ciborium::from_reader(&mut rest).map_err(|e| BadBody(format!("malformed: {e}")))?;
+    if !rest.is_empty() {
+        return Err(BadBody("something follows the submission".into()));
+    }
+    let id = JobId::parse(&b.id).ok_or("id")?;
     if b.verses == 0 || b.verses > TASKS_MAX {
-        return Err(BadBody("verses"));
+        return Err("verses".into());
     }
     let name = |field: &'static str, text: String| {
         let good = !text.is_empty() && text.len() <= NAME_MAX && !text.contains(char::is_control);
-        good.then_some(text).ok_or(BadBody(field))
+        good.then_some(text).ok_or(BadBody::from(field))
     };
     let amount = |field: &'static str, n: Num| {
         let good = n.0.is_finite() && (0.0..=AMOUNT_MAX).contains(&n.0);
-        good.then_some(n.0).ok_or(BadBody(field))
+        good.then_some(n.0).ok_or(BadBody::from(field))
     };
     let types = match b.builds {
         None => None,
-        Some(list) if list.is_empty() || list.len() > TYPES_MAX => return Err(BadBody("builds")),
+        Some(list) if list.is_empty() || list.len() > TYPES_MAX => return Err("builds".into()),
         Some(list) => Some(
             list.into_iter()
                 .map(|t| name("builds", t))
