--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -125,6 +125,8 @@
 const BLIND_S: f64 = 2.5;
 /// A follow that hasn't brought a revision known to exist for this long hangs.
 const FOLLOW_STUCK_S: f64 = 1.5;
+/// A controller has heard workers lately if one reported within this time.
+const HEARD_S: f64 = 3.0;
 /// Margin for the time a message takes and for late timers.
 const MARGIN_S: f64 = 2.0;
 /// Steady clocks drift apart by at most this share.
@@ -178,6 +180,8 @@
     catalog_retry: Time,
     siblings: BTreeMap<Member, (Hello, Time)>,
     hello_at: Time,
+    /// When a worker last reported here.
+    worker_heard: Time,
     chores_at: Time,
 }
 
@@ -214,6 +218,7 @@
             catalog_retry: Time(0),
             siblings: BTreeMap::new(),
             hello_at: Time(0),
+            worker_heard: Time(0),
             chores_at: Time(0),
         };
         core.share_budgets();
@@ -551,6 +556,7 @@
             number,
             leader,
             sighted: !self.blind(),
+            heard: self.now.since(self.worker_heard) < HEARD_S,
         };
         self.out.push(Output::Peer(hello));
     }
@@ -577,14 +583,10 @@
     /// controller is blind, by what siblings said lately.
     pub(crate) fn known_leader(&self) -> Option<Member> {
         let me = &self.settings.platform.member;
-        let said = self
-            .siblings
-            .values()
-            .filter(|(h, at)| h.sighted && self.now.since(*at) < 3.0)
-            .max_by_key(|(h, _)| h.number);
+        let said = self.lately().filter(|h| h.sighted).max_by_key(|h| h.number);
         let own = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
         let leader = match said {
-            Some((h, _)) if self.blind() || h.number > self.cache.highest() => h.leader.clone(),
+            Some(h) if self.blind() || h.number > self.cache.highest() => h.leader.clone(),
             _ => own,
         };
         leader.filter(|l| l != me)
@@ -592,8 +594,17 @@
 
     /// Whether a sibling says that it sees the state service.
     pub(crate) fn sibling_sighted(&self) -> bool {
-        self.siblings
-            .values()
-            .any(|(h, at)| h.sighted && self.now.since(*at) < 3.0)
+        self.lately().any(|h| h.sighted)
+    }
+
+    /// Whether workers report to a sibling that could lead.
+    pub(crate) fn sibling_hears(&self) -> bool {
+        self.lately().any(|h| h.sighted && h.heard)
+    }
+
+    fn lately(&self) -> impl Iterator<Item = &Hello> {
+        let recent = |at: &Time| self.now.since(*at) < HEARD_S;
+        let all = self.siblings.values();
+        all.filter(move |(_, at)| recent(at)).map(|(h, _)| h)
     }
 }
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -22,6 +22,8 @@
 /// Without any report for this many report intervals, a holder whose machines all
 /// reported before takes itself to be cut off from them.
 const DEAF_REPORTS: f64 = 5.0;
+/// When most machines are silent, they are given up after this many leases.
+const MASS_SILENT: f64 = 3.0;
 /// Seconds a machine of an older leadership has to report before it counts as silent.
 const FIRST_REPORT_S: f64 = 12.0;
 /// Repeated saving halts turn into plain ones after the grace and this long.
@@ -52,6 +54,7 @@
         let blind = self.blind_s();
         let limit = self.blind_limit_s();
         let now = self.now;
+        self.worker_heard = now;
         let Some(h) = &mut self.holder else {
             return self.steer(req);
         };
@@ -442,8 +445,9 @@
         }
     }
 
-    /// A holder that hears none of its machines while it sees the state service is
-    /// cut off from them, and lets another controller try.
+    /// A holder that hears none of its machines, while they report to a sibling, is cut
+    /// off from them and lets another controller try. When nobody hears them it is
+    /// they who are gone, and giving up would only put off their replacement.
     fn check_deaf(&mut self) {
         let w = &self.settings.platform.facts.workers;
         let patience = w.report_s * DEAF_REPORTS;
@@ -453,7 +457,7 @@
         let up = h.machines.values().filter(|m| m.up.is_some()).count();
         let settled = self.now.since(h.since) > FIRST_REPORT_S;
         let deaf = up >= 2 && settled && self.now.since(h.heard) > patience;
-        if deaf && !self.blind() && !self.settings.platform.siblings.is_empty() {
+        if deaf && !self.blind() && self.sibling_hears() {
             self.resign("no worker reaches it");
         }
     }
@@ -508,7 +512,7 @@
 
     /// Machines that have gone silent are replaced before their tasks wait for long.
     fn check_silent(&mut self) {
-        let w = &self.settings.platform.facts.workers;
+        let w = self.settings.platform.facts.workers.clone();
         let silent_s = w.lease_s * self.settings.tuning.silent;
         let (now, blind) = (self.now, self.blind());
         let Some(h) = &mut self.holder else {
@@ -522,11 +526,18 @@
             }
         }
         let up = h.machines.values().filter(|m| m.up.is_some()).count();
-        // When half of them are silent, the trouble is a cut: deleting them would
-        // cost the fleet.
-        if blind || now.since(h.since) < FIRST_REPORT_S || silent.len() * 2 > up.max(2) {
+        if blind || now.since(h.since) < FIRST_REPORT_S {
             return;
         }
+        // When half of them are silent, the trouble may be a cut: deleting them would
+        // cost the fleet. But they may also all be gone.
+        if silent.len() * 2 > up.max(2) {
+            let since = h.since;
+            silent.retain(|id| {
+                let seen = h.machines.get(id).map_or(now, |m| m.seen.max(since));
+                now.since(seen) > MASS_SILENT * w.lease_s
+            });
+        }
         for id in silent {
             h.doom(now, &id, "it is silent");
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -18,6 +18,8 @@
     pub leader: Option<Member>,
     /// Whether the state service has answered it lately.
     pub sighted: bool,
+    /// Whether a worker has reported to it lately, wherever it was sent on to.
+    pub heard: bool,
 }
 
 /// Frames a message.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -436,19 +436,6 @@
     pub fn age_s(&self) -> f64 {
         self.age.0
     }
-
-    #[cfg(test)]
-    pub fn new(id: &str, class: &str, zone: &str, stance: MachineStance) -> Self {
-        Self {
-            id: id.into(),
-            endpoint: None,
-            class: class.into(),
-            zone: zone.into(),
-            spot: false,
-            stance,
-            age: Num(0.0),
-        }
-    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- /dev/null
+++ b/tests/malformed.rs
@@ -0,0 +1,407 @@
+//! Tables of malformed HTTP and CBOR: one row for every kind ever found.
+
+use ciborium::{Value, cbor};
+use salttrestle::http::{Decoder, HttpError, Side};
+use salttrestle::peer;
+use salttrestle::settings::{Platform, Tuning};
+use salttrestle::wire;
+
+/// What a request's bytes come to: the body's size, an error, or not yet whole.
+fn request(bytes: &[u8]) -> Result<Option<usize>, HttpError> {
+    let mut d = Decoder::new(Side::Request, 100);
+    d.feed(bytes);
+    d.next_message().map(|m| m.map(|m| m.body.len()))
+}
+
+#[test]
+fn http_requests() {
+    use HttpError::{Malformed, TooLarge};
+    let rows: &[(&str, Result<Option<usize>, HttpError>)] = &[
+        ("GET /up HTTP/1.1\r\n\r\n", Ok(Some(0))),
+        ("\r\n\r\nGET /up HTTP/1.1\r\nHost: x\r\n\r\n", Ok(Some(0))),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
+            Ok(Some(3)),
+        ),
+        (
+            "POST /work HTTP/1.1\r\ncontent-length:3\r\nContent-Length: 3\r\n\r\nabc",
+            Ok(Some(3)),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n",
+            Ok(Some(3)),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 3\r\n\r\nab",
+            Ok(None),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            Ok(None),
+        ),
+        ("GET /up HTTP/1.1\r\nHos", Ok(None)),
+        ("GET /up HTTP/2.0\r\n\r\n", Err(Malformed)),
+        ("GET /up\r\n\r\n", Err(Malformed)),
+        ("GET up HTTP/1.1\r\n\r\n", Err(Malformed)),
+        ("G T /up HTTP/1.1\r\n\r\n", Err(Malformed)),
+        (" /up HTTP/1.1\r\n\r\n", Err(Malformed)),
+        ("GET /up HTTP/1.1\r\nno colon\r\n\r\n", Err(Malformed)),
+        ("GET /up HTTP/1.1\r\n: empty\r\n\r\n", Err(Malformed)),
+        (
+            "GET /up HTTP/1.1\r\nA b: space in name\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 3 3\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+            Err(Malformed),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 101\r\n\r\n",
+            Err(TooLarge),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+            Err(TooLarge),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n",
+            Err(TooLarge),
+        ),
+        (
+            "POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffffff\r\n",
+            Err(TooLarge),
+        ),
+    ];
+    for (bytes, want) in rows {
+        assert_eq!(&request(bytes.as_bytes()), want, "{bytes:?}");
+    }
+    let binary = b"GET /\xff\xfe HTTP/1.1\r\n\r\n";
+    assert_eq!(request(binary), Err(Malformed));
+    let endless = format!("GET /up HTTP/1.1\r\nX: {}", "a".repeat(10_000));
+    assert_eq!(request(endless.as_bytes()), Err(TooLarge));
+}
+
+#[test]
+fn http_byte_by_byte() {
+    let mut d = Decoder::new(Side::Request, 100);
+    let bytes = b"POST /work HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET /up HTTP/1.1\r\n\r\n";
+    let mut seen = Vec::new();
+    for b in bytes {
+        d.feed(&[*b]);
+        while let Some(m) = d.next_message().expect("good bytes") {
+            seen.push((m.start[1].clone(), m.body));
+        }
+    }
+    let want = vec![
+        ("/work".to_string(), b"ab".to_vec()),
+        ("/up".to_string(), Vec::new()),
+    ];
+    assert_eq!(seen, want);
+    assert!(!d.midway());
+}
+
+#[test]
+fn http_responses() {
+    let mut d = Decoder::new(Side::Response, 100);
+    d.feed(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n");
+    let m = d.next_message().expect("good").expect("whole");
+    assert_eq!(
+        (m.status(), m.retry_after, m.close),
+        (Some(503), Some(7), false)
+    );
+    d.feed(b"HTTP/1.0 200 OK\r\n\r\nab");
+    assert_eq!(d.next_message(), Ok(None));
+    assert_eq!(d.closed().expect("ends with its connection").body, b"ab");
+    d.feed(b"HTTP/1.1 2x0 OK\r\n\r\n");
+    assert_eq!(d.next_message(), Err(HttpError::Malformed));
+}
+
+fn good() -> Vec<(Value, Value)> {
+    let value = cbor!({
+        "id" => "wk-000412", "troupe" => "train", "crew" => "vision", "form" => "batch",
+        "rank" => "urgent", "verses" => 16, "cores" => 8.0, "accelerators" => 1, "memGb" => 64.0,
+        "score" => "img-07", "sizeGb" => 6.2, "builds" => ["g8"], "quarter" => null,
+        "samePlace" => true, "scatter" => false, "borrowed" => true, "reckonS" => 240.0,
+        "bookmarkS" => 30.0, "stashS" => 4.0, "curtainS" => 900.0, "later" => {"unknown" => 1}
+    });
+    match value.expect("a map") {
+        Value::Map(map) => map,
+        _ => unreachable!("cbor! of a map"),
+    }
+}
+
+/// The good submission with one field changed, or left out.
+fn with(field: &str, value: Option<Value>) -> Vec<u8> {
+    let mut map = good();
+    map.retain(|(k, _)| k.as_text() != Some(field));
+    if let Some(value) = value {
+        map.push((Value::Text(field.into()), value));
+    }
+    wire::encode(&Value::Map(map))
+}
+
+#[test]
+fn submissions() {
+    assert!(wire::submission(&wire::encode(&Value::Map(good()))).is_ok());
+    for field in ["builds", "quarter", "curtainS"] {
+        assert!(
+            wire::submission(&with(field, None)).is_ok(),
+            "{field} may be left out"
+        );
+    }
+    let required = [
+        "id",
+        "troupe",
+        "crew",
+        "form",
+        "rank",
+        "verses",
+        "cores",
+        "accelerators",
+        "memGb",
+        "score",
+        "sizeGb",
+        "samePlace",
+        "scatter",
+        "borrowed",
+        "reckonS",
+        "bookmarkS",
+        "stashS",
+    ];
+    for field in required {
+        assert!(
+            wire::submission(&with(field, None)).is_err(),
+            "{field} is missing"
+        );
+        assert!(
+            wire::submission(&with(field, Some(Value::Null))).is_err(),
+            "{field} is null"
+        );
+        let list = Value::Array(Vec::new());
+        assert!(
+            wire::submission(&with(field, Some(list))).is_err(),
+            "{field} is a list"
+        );
+    }
+    let text = |t: &str| Value::Text(t.into());
+    let int = |n: i64| Value::Integer(n.into());
+    let rows = [
+        ("id", text("")),
+        ("id", text("wk")),
+        ("id", text("wk-")),
+        ("id", text("wk-12x")),
+        ("id", text("WK-12")),
+        ("id", text("wk-1/2")),
+        ("id", text("wk-1 2")),
+        ("id", text(&format!("wk-{}", "1".repeat(80)))),
+        ("id", int(5)),
+        ("troupe", text("")),
+        ("troupe", text(&"x".repeat(200))),
+        ("crew", text("a\nb")),
+        ("score", text("")),
+        ("form", text("ballad")),
+        ("rank", text("Urgent")),
+        ("verses", int(0)),
+        ("verses", int(-1)),
+        ("verses", int(100_001)),
+        ("verses", int(1 << 40)),
+        ("verses", Value::Float(4.5)),
+        ("verses", text("4")),
+        ("cores", Value::Float(f64::NAN)),
+        ("cores", Value::Float(f64::INFINITY)),
+        ("cores", Value::Float(-0.5)),
+        ("accelerators", int(-1)),
+        ("memGb", Value::Float(1e300)),
+        ("sizeGb", text("6.2")),
+        ("reckonS", Value::Float(f64::NEG_INFINITY)),
+        ("bookmarkS", int(-3)),
+        ("stashS", Value::Bool(true)),
+        ("curtainS", Value::Float(f64::NAN)),
+        ("curtainS", text("soon")),
+        ("builds", Value::Array(vec![])),
+        ("builds", Value::Array(vec![int(1)])),
+        ("builds", Value::Array(vec![text("")])),
+        ("builds", Value::Array(vec![text("g8"); 100])),
+        ("builds", text("g8")),
+        ("quarter", int(1)),
+        ("quarter", text("")),
+        ("samePlace", int(1)),
+        ("scatter", text("yes")),
+        ("borrowed", Value::Float(1.0)),
+    ];
+    for (field, value) in rows {
+        let body = with(field, Some(value.clone()));
+        assert!(wire::submission(&body).is_err(), "{field} = {value:?}");
+    }
+}
+
+#[test]
+fn bodies_that_are_no_map() {
+    let whole = wire::encode(&Value::Map(good()));
+    let rows: Vec<Vec<u8>> = vec![
+        vec![],
+        vec![0xff],
+        vec![0xa1],
+        vec![0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
+        vec![0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
+        vec![0x81; 5000],
+        b"{\"id\": \"wk-1\"}".to_vec(),
+        whole[..whole.len() - 1].to_vec(),
+        [whole.clone(), vec![0]].concat(),
+    ];
+    for body in rows {
+        assert!(
+            wire::submission(&body).is_err(),
+            "{:?}",
+            &body[..body.len().min(20)]
+        );
+        assert!(wire::decode::<wire::Report>(&body).is_none());
+    }
+}
+
+#[test]
+fn reports() {
+    let body = |attempt: Value, stance: &str, baton: Value| {
+        wire::encode(
+            &cbor!({
+                "rig" => "i-1", "endpoint" => "10.0.0.1:1", "build" => "g8", "quarter" => "a",
+                "borrowed" => false, "shift" => 1, "tally" => 2, "baton" => baton,
+                "verses" => [{"verse" => "wk-1/0", "take" => attempt, "stance" => stance,
+                              "cause" => "something new", "more" => 1}]
+            })
+            .expect("a map"),
+        )
+    };
+    let int = |n: i64| Value::Integer(n.into());
+    let good = wire::decode::<wire::Report>(&body(int(1), "ended", int(3))).expect("a report");
+    assert_eq!(good.tasks[0].cause, Some(wire::Cause::Other));
+    for (attempt, stance, baton) in [
+        (int(-1), "running", int(1)),
+        (Value::Float(1.5), "running", int(1)),
+        (int(1), "dancing", int(1)),
+        (int(1), "running", int(-1)),
+        (int(1), "running", Value::Text("3".into())),
+    ] {
+        assert!(wire::decode::<wire::Report>(&body(attempt, stance, baton)).is_none());
+    }
+}
+
+#[test]
+fn peer_messages() {
+    let hello = peer::Hello {
+        from: "node-1".into(),
+        number: salttrestle::ids::Number(4),
+        leader: None,
+        sighted: true,
+        heard: false,
+    };
+    let framed = peer::frame(&hello);
+    let mut buf = [framed.clone(), framed[..4].to_vec()].concat();
+    assert_eq!(peer::unframe(&mut buf), Ok(Some(hello)));
+    assert_eq!(peer::unframe(&mut buf), Ok(None));
+    assert!(
+        peer::unframe(&mut vec![0xff, 0xff, 1]).is_err(),
+        "too large"
+    );
+    assert!(peer::unframe(&mut vec![0, 1, 1, 9]).is_err(), "malformed");
+    let mut other_version = vec![0, 1, 99, 9];
+    assert_eq!(peer::unframe(&mut other_version), Ok(None));
+    assert!(other_version.is_empty(), "another version is passed over");
+}
+
+const PLATFORM: &str = r#"{"member":"n0","site":"a","listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+ "siblings":[{"member":"n1","site":"b","endpoint":"127.0.0.1:3"}],
+ "services":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},"new":1,
+ "facts":{"count":2,"zones":["a","b"],"teams":[{"name":"t","gpus_max":4}],
+  "workers":{"report_s":1,"lease_s":10,"cancel_s":35},
+  "state":{"rps":150,"write_rps":60,"value_kb":8,"txn_ops":16},
+  "cloud":{"rps":4,"list_lag_s":8},"resources":{"cpu":0.1,"mem_mb":56,"max_sockets":500}}}"#;
+
+#[test]
+fn settings_errors_name_file_key_and_reason() {
+    assert!(Platform::parse(PLATFORM, "f.json").is_ok());
+    let rows = [
+        ("\"lease_s\":10", "\"lease_s\":0", "facts.workers.lease_s"),
+        ("\"lease_s\":10", "\"lease_s\":40", "facts.workers.cancel_s"),
+        ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "facts.zones"),
+        ("\"txn_ops\":16", "\"txn_ops\":1", "facts.state.txn_ops"),
+        (
+            "\"max_sockets\":500",
+            "\"max_sockets\":3",
+            "facts.resources.max_sockets",
+        ),
+        (
+            "\"gpus_max\":4",
+            "\"gpus_max\":-4",
+            "facts.teams[0].gpus_max",
+        ),
+        ("\"member\":\"n1\"", "\"member\":\"n0\"", "siblings"),
+        ("127.0.0.1:2", "127.0.0.1:1", "peer_listen"),
+        ("\"member\":\"n0\",", "", "member"),
+        ("127.0.0.1:5", "somewhere", "line"),
+    ];
+    for (old, new, key) in rows {
+        let text = PLATFORM.replace(old, new);
+        let error = Platform::parse(&text, "f.json").expect_err(new);
+        assert!(
+            error.file == "f.json" && error.key.contains(key),
+            "{new}: {error}"
+        );
+        assert!(!error.reason.is_empty() && !error.to_string().contains('\n'));
+    }
+}
+
+#[test]
+fn properties() {
+    let defaults = Tuning::parse(None).expect("good defaults");
+    let over = Tuning::parse(Some(("o", "scale.tick-s = 2.5\n# note\n"))).expect("good");
+    assert_eq!(over.tick_s, 2.5);
+    assert_eq!(
+        Tuning {
+            tick_s: defaults.tick_s,
+            ..over
+        },
+        defaults
+    );
+    for (text, key) in [
+        ("scale.tik-s = 2", "scale.tik-s"),
+        ("scale.tick-s = fast", "scale.tick-s"),
+        ("scale.tick-s = NaN", "scale.tick-s"),
+        ("scale.rise = 1000", "scale.rise"),
+        ("scale.tick-s = \\uZZZZ", "(file)"),
+    ] {
+        let error = Tuning::parse(Some(("o.properties", text))).expect_err(text);
+        assert_eq!(
+            (error.file.as_str(), error.key.as_str()),
+            ("o.properties", key)
+        );
+    }
+}
--- /dev/null
+++ b/tests/sim/cloud.rs
@@ -0,0 +1,131 @@
+//! The cloud: rents machines, lists them late, takes some back.
+
+use ciborium::cbor;
+use salttrestle::ids::MachineId;
+use salttrestle::wire::{ClassInfo, CloudOp, CloudReply};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+pub struct Rig {
+    pub class: String,
+    pub zone: String,
+    pub spot: bool,
+    pub rented: u64,
+    /// When it comes up; `None` if it never does.
+    pub boots: Option<u64>,
+    pub failed: bool,
+    pub gone: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub catalog: Vec<ClassInfo>,
+    pub rigs: BTreeMap<String, Rig>,
+    pub answers: BTreeMap<String, Vec<MachineId>>,
+    /// Free machines by type, zone and kind.
+    pub capacity: BTreeMap<(String, String, bool), u32>,
+    pub outage: bool,
+    pub lag_ms: u64,
+    /// The next so many machines never boot.
+    pub stillborn: u32,
+}
+
+impl Cloud {
+    pub fn add(
+        &mut self,
+        now: u64,
+        class: &str,
+        zone: &str,
+        spot: bool,
+        boots: Option<u64>,
+    ) -> MachineId {
+        let id = format!("i-{:06}", self.rigs.len());
+        let rig = Rig {
+            class: class.into(),
+            zone: zone.into(),
+            spot,
+            rented: now,
+            boots,
+            failed: false,
+            gone: None,
+        };
+        self.rigs.insert(id.clone(), rig);
+        MachineId::from(id.as_str())
+    }
+
+    /// Executes a request. Deleted machines are returned besides.
+    pub fn execute(&mut self, now: u64, op: &CloudOp) -> (CloudReply, Vec<String>) {
+        if self.outage {
+            return (CloudReply::Trouble, Vec::new());
+        }
+        match op {
+            CloudOp::Catalog => (CloudReply::Catalog(self.catalog.clone()), Vec::new()),
+            CloudOp::Rent(h) => {
+                if let Some(rigs) = self.answers.get(&h.name) {
+                    return (CloudReply::Rented(rigs.clone()), Vec::new());
+                }
+                let key = (h.class.clone(), h.zone.clone(), h.spot);
+                let free = self.capacity.entry(key).or_default();
+                let n = (*free).min(h.count);
+                if n == 0 {
+                    return (CloudReply::Refused, Vec::new());
+                }
+                *free -= n;
+                let ready = self.catalog.iter().find(|c| c.name == h.class);
+                let boot = ready.map_or(1000, |c| (c.ready_s * 1000.0) as u64);
+                let rigs: Vec<MachineId> = (0..n)
+                    .map(|_| {
+                        let dead = self.stillborn > 0;
+                        self.stillborn = self.stillborn.saturating_sub(1);
+                        let boots = (!dead).then_some(now + boot);
+                        self.add(now, &h.class, &h.zone, h.spot, boots)
+                    })
+                    .collect();
+                self.answers.insert(h.name.clone(), rigs.clone());
+                (CloudReply::Rented(rigs), Vec::new())
+            }
+            CloudOp::Delete(ids) => {
+                let mut gone = Vec::new();
+                for id in ids {
+                    if let Some(r) = self.rigs.get_mut(id.as_str()) {
+                        if r.gone.is_none() {
+                            r.gone = Some(now);
+                            gone.push(id.to_string());
+                            let key = (r.class.clone(), r.zone.clone(), r.spot);
+                            *self.capacity.entry(key).or_default() += 1;
+                        }
+                    }
+                }
+                (CloudReply::Deleted, gone)
+            }
+            CloudOp::List { after } => (self.list(now, after.as_ref()), Vec::new()),
+        }
+    }
+
+    fn list(&self, now: u64, after: Option<&MachineId>) -> CloudReply {
+        let at = now.saturating_sub(self.lag_ms);
+        let shown = self.rigs.iter().filter(|(id, r)| {
+            let behind = after.is_none_or(|a| id.as_str() > a.as_str());
+            behind && r.rented <= at && r.gone.is_none_or(|g| g > at)
+        });
+        let machines = shown.map(|(id, r)| {
+            let stance = match (r.failed, r.boots) {
+                (true, _) => "failed",
+                (_, Some(b)) if b <= at => "running",
+                _ => "starting",
+            };
+            let age = (at - r.rented) as f64 / 1000.0;
+            let body = cbor!({
+                "id" => id, "endpoint" => "10.1.0.1:9000", "build" => r.class,
+                "quarter" => r.zone, "borrowed" => r.spot, "stance" => stance, "ageS" => age
+            });
+            body.expect("a map")
+                .deserialized()
+                .expect("a listed machine")
+        });
+        CloudReply::Page {
+            machines: machines.collect(),
+            more: false,
+        }
+    }
+}
--- /dev/null
+++ b/tests/sim/state.rs
@@ -0,0 +1,205 @@
+//! The state service, as PROTOCOL describes it.
+
+use salttrestle::core::CallId;
+use salttrestle::core::records::{Key, PREFIX, Record};
+use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
+use std::collections::BTreeMap;
+
+/// A follow that waits for news.
+pub struct Waiter {
+    pub node: usize,
+    pub boot: u64,
+    pub call: CallId,
+    pub after: u64,
+    pub until: u64,
+}
+
+#[derive(Default)]
+pub struct StateService {
+    pub ledger: u64,
+    pub keys: BTreeMap<String, (Record, u64, Option<u64>)>,
+    pub log: Vec<Change>,
+    /// Grants: end and length.
+    pub grants: BTreeMap<u64, (u64, u64)>,
+    pub next_grant: u64,
+    pub waiters: Vec<Waiter>,
+    pub outage: bool,
+    pub kept: usize,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    /// Requests that went beyond a limit of size: a defect of the service.
+    pub oversize: Vec<String>,
+}
+
+impl StateService {
+    fn change(&mut self, path: &str, record: Option<(Record, Option<u64>)>, mark: u64) {
+        let Some(key) = Key::parse(path) else {
+            self.oversize.push(format!("strange key {path}"));
+            return;
+        };
+        let rec = record.as_ref().map(|(r, _)| r.clone());
+        match record {
+            Some((r, hold)) => {
+                self.keys.insert(path.into(), (r, mark, hold));
+            }
+            None => {
+                self.keys.remove(path);
+            }
+        }
+        self.log.push((key, mark, rec));
+    }
+
+    /// Ends grants whose time is over.
+    pub fn expire(&mut self, now: u64) {
+        if self.outage {
+            return;
+        }
+        let over: Vec<u64> = self
+            .grants
+            .iter()
+            .filter(|(_, (end, _))| now > *end)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.grants.remove(&id);
+            let keys: Vec<String> = self
+                .keys
+                .iter()
+                .filter(|(_, v)| v.2 == Some(id))
+                .map(|(k, _)| k.clone())
+                .collect();
+            for key in keys {
+                self.ledger += 1;
+                let mark = self.ledger;
+                self.change(&key, None, mark);
+            }
+        }
+    }
+
+    pub fn end_outage(&mut self, now: u64) {
+        self.outage = false;
+        for (end, ttl) in self.grants.values_mut() {
+            *end = now + *ttl;
+        }
+    }
+
+    /// The news after a revision, if there are any.
+    pub fn news(&self, after: u64) -> Option<StateReply> {
+        let oldest = self.log.len().saturating_sub(self.kept);
+        if oldest > 0 && self.log[oldest - 1].1 > after {
+            return Some(StateReply::TooOld);
+        }
+        let news: Vec<Change> = self.log.iter().filter(|c| c.1 > after).cloned().collect();
+        let ledger = self.ledger;
+        (!news.is_empty()).then_some(StateReply::News { ledger, news })
+    }
+
+    /// Executes a request; `None` for a follow that has to wait.
+    pub fn execute(&mut self, now: u64, op: &StateOp) -> Option<StateReply> {
+        if self.outage {
+            return match op {
+                StateOp::Follow { .. } => None,
+                _ => Some(StateReply::Refused),
+            };
+        }
+        self.expire(now);
+        Some(match op {
+            StateOp::Fresh => StateReply::Missing {
+                ledger: self.ledger,
+            },
+            StateOp::Get(key) => match self.keys.get(&key.to_string()) {
+                Some((record, mark, _)) => StateReply::Found {
+                    record: record.clone(),
+                    mark: *mark,
+                },
+                None => StateReply::Missing {
+                    ledger: self.ledger,
+                },
+            },
+            StateOp::List { after } => self.list(after),
+            StateOp::Commit { when, writes } => self.commit(when, writes),
+            StateOp::Grant { ttl_ms } => {
+                self.next_grant += 1;
+                self.grants.insert(self.next_grant, (now + ttl_ms, *ttl_ms));
+                StateReply::Granted(self.next_grant)
+            }
+            StateOp::Extend(id) => match self.grants.get_mut(id) {
+                Some((end, ttl)) => {
+                    *end = now + *ttl;
+                    StateReply::Extended
+                }
+                None => StateReply::NoGrant,
+            },
+            StateOp::Follow { after } => return self.news(*after),
+        })
+    }
+
+    fn list(&self, after: &str) -> StateReply {
+        const PAGE: usize = 50;
+        let behind = self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.as_str() > after && k.starts_with(PREFIX));
+        let mut entries = Vec::new();
+        let mut last = None;
+        let mut more = false;
+        for (path, (record, mark, _)) in behind {
+            if entries.len() == PAGE {
+                more = true;
+                break;
+            }
+            last = Some(path.clone());
+            if let Some(key) = Key::parse(path) {
+                entries.push((key, *mark, Some(record.clone())));
+            }
+        }
+        StateReply::Page {
+            entries,
+            last,
+            more,
+            ledger: self.ledger,
+        }
+    }
+
+    fn commit(&mut self, when: &[(Key, u64)], writes: &[Write]) -> StateReply {
+        if writes.len() > self.txn_ops || when.len() > 4 * self.txn_ops {
+            self.oversize.push(format!(
+                "{} writes, {} conditions",
+                writes.len(),
+                when.len()
+            ));
+        }
+        for w in writes {
+            if let Write::Put { key, record, .. } = w {
+                let size = serde_json::to_string(&record_value(record)).map_or(0, |s| s.len());
+                if size as f64 > self.value_kb * 1024.0 {
+                    self.oversize.push(format!("{key} has {size} bytes"));
+                }
+            }
+            if let Write::Put { hold: Some(id), .. } = w {
+                if !self.grants.contains_key(id) {
+                    return StateReply::NoGrant;
+                }
+            }
+        }
+        let failed: Vec<Key> = when
+            .iter()
+            .filter(|(key, mark)| self.keys.get(&key.to_string()).map_or(0, |v| v.1) != *mark)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StateReply::Conflict { failed };
+        }
+        self.ledger += 1;
+        let mark = self.ledger;
+        for w in writes {
+            match w {
+                Write::Put { key, record, hold } => {
+                    self.change(&key.to_string(), Some((record.clone(), *hold)), mark);
+                }
+                Write::Delete { key } => self.change(&key.to_string(), None, mark),
+            }
+        }
+        StateReply::Committed { ledger: mark }
+    }
+}
