--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -2,12 +2,14 @@
 //! tick compares the larger of two counts, what waits and what runs, with what is
 //! provisioned, booting machines included.
 
-use super::blocks::Machine;
+use super::holder::Machine;
 use super::placement::{free_room, within_limit};
+use super::records::Closed;
 use super::*;
+use crate::peer::PoolCount;
 use crate::settings::Tuning;
 use log::{info, warn};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 
 /// A machine type's index in the catalogue, and whether it is spot.
 type Pool = (usize, bool);
@@ -44,14 +46,16 @@
     /// Whether counts are rebuilt, so that renting may begin.
     ready: Option<Time>,
     listed: bool,
-    listing: bool,
-    list_at: Time,
     tick_at: Time,
     wanted: BTreeMap<Pool, VecDeque<(Time, u32)>>,
     hires: Vec<Hire>,
     hire_count: u64,
     /// Until when a pool's zone isn't asked again, and how often it refused.
     refused: HashMap<(usize, String, bool), (Time, u32)>,
+    shares: Vec<(u32, u32)>,
+    closed: Vec<Closed>,
+    /// Machines to return, for the next plan.
+    returns: Vec<MachineId>,
     plan_busy: bool,
     plan_dirty: bool,
 }
@@ -65,24 +69,40 @@
 const RENT_MAX: u32 = 50;
 /// Most names that one deletion may hold.
 const DELETE_MAX: usize = 100;
+/// Counts are told to the leader this often, as a share of its tick.
+const TALLY_SHARE: f64 = 0.2;
+/// A machine is surely listed after this many list lags.
+const LISTED_LAGS: f64 = 3.0;
 /// Jobs that failed this often in a row don't make the fleet grow.
 const HOPELESS: u32 = 6;
 /// A machine this much free counts as room kept for urgent starts.
 const SPARE_SHARE: f64 = 0.5;
 
 impl Core {
-    pub(crate) fn cloud_chores(&mut self) {
+    pub(crate) fn catalog_chores(&mut self) {
         if self.catalog.is_empty() && self.now >= self.catalog_retry {
             self.catalog_retry = self.now.after(REPEAT_S);
             self.cloud_call(CloudOp::Catalog, CloudPurpose::Catalog, Priority::First);
         }
-        if !self.grant_alive() || self.catalog.is_empty() {
+    }
+
+    pub(crate) fn lead_chores(&mut self) {
+        if self.now >= self.tally_at {
+            self.tally_at = self.now.after(self.settings.tuning.tick_s * TALLY_SHARE);
+            self.tally_chores();
+            self.lease_chores();
+        }
+        if self.catalog.is_empty() {
+            return;
+        }
+        let several = self.parked.values().any(|h| !h.whole);
+        if self.grant_alive() || several {
+            self.list_machines();
+        }
+        if !self.grant_alive() {
             return;
         }
-        self.doom_unborn();
-        self.delete_doomed();
         self.repeat_hires();
-        self.list_machines();
         self.tick();
         self.write_plan();
     }
@@ -93,13 +113,14 @@
         }
         self.cloud_budget.take(1.0);
         let id = self.call_id();
-        self.cloud_calls.insert(id, purpose);
+        let tenure = self.tenure();
+        self.cloud_calls.insert(id, (purpose, tenure));
         self.out.push(Output::Cloud(id, op));
         true
     }
 
     pub(crate) fn on_cloud(&mut self, id: CallId, reply: CloudReply) {
-        let Some(purpose) = self.cloud_calls.remove(&id) else {
+        let Some((purpose, tenure)) = self.cloud_calls.remove(&id) else {
             return;
         };
         if reply == CloudReply::Trouble {
@@ -108,7 +129,11 @@
         match purpose {
             CloudPurpose::Catalog => self.on_catalog(reply),
             CloudPurpose::Rent(name) => self.on_rented(&name, reply),
-            CloudPurpose::Delete(ids) => self.on_deleted(ids, reply),
+            CloudPurpose::Delete(ids) => {
+                if let Some((block, _)) = tenure {
+                    self.in_block(block, |core| core.on_deleted(ids, reply));
+                }
+            }
             CloudPurpose::List(so_far) => self.on_machine_list(so_far, reply),
         }
     }
@@ -119,7 +144,7 @@
         };
         self.catalog = classes;
         let catalog = &self.catalog;
-        if let Some(h) = &mut self.holder {
+        for h in self.parked.values_mut() {
             for m in h.machines.values_mut() {
                 let class = catalog.iter().position(|c| *c.name == *m.class_name);
                 m.class = class.unwrap_or(usize::MAX);
@@ -133,47 +158,37 @@
     pub(crate) fn rebuild_scale(&mut self) {
         let now = self.now;
         let plan = self.cache.plan.rec.clone().unwrap_or_default();
-        let Some(h) = &mut self.holder else {
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        h.scale.hires = plan
-            .hires
-            .into_iter()
-            .map(|rec| Hire {
-                rec,
-                step: HireStep::Written,
-                at: now,
-            })
-            .collect();
-        h.scale.tick_at = now;
+        let written = |rec| Hire {
+            rec,
+            step: HireStep::Written,
+            at: now,
+        };
+        lead.scale.hires = plan.hires.into_iter().map(written).collect();
+        lead.scale.tick_at = now;
     }
 
     // ---- machines that are there
 
+    /// The leader lists machines to find those nobody expected; with several blocks,
+    /// the other holders list them, less often, to learn what became of their own.
     fn list_machines(&mut self) {
         let lag = self.settings.platform.facts.cloud.list_lag_s.max(2.0);
-        let now = self.now;
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        if h.scale.listing || now < h.scale.list_at {
+        let pause = if self.lead.is_some() { lag } else { 2.0 * lag };
+        if self.listing || self.now < self.list_at || self.blind() {
             return;
         }
         let op = CloudOp::List { after: None };
         if self.cloud_call(op, CloudPurpose::List(Vec::new()), Priority::Usual) {
-            if let Some(h) = &mut self.holder {
-                h.scale.listing = true;
-                h.scale.list_at = now.after(lag);
-            }
+            self.listing = true;
+            self.list_at = self.now.after(pause);
         }
     }
 
     fn on_machine_list(&mut self, mut so_far: Vec<Listed>, reply: CloudReply) {
-        let now = self.now;
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        h.scale.listing = false;
+        self.listing = false;
         let CloudReply::Page { machines, more } = reply else {
             return;
         };
@@ -181,22 +196,30 @@
         let last = so_far.last().map(|l| MachineId::from(l.id.as_str()));
         if let (true, Some(last)) = (more, last) {
             let op = CloudOp::List { after: Some(last) };
-            if self.cloud_call(op, CloudPurpose::List(so_far), Priority::Usual) {
-                if let Some(h) = &mut self.holder {
-                    h.scale.listing = true;
-                }
-            }
+            let purpose = CloudPurpose::List(so_far);
+            self.listing = self.cloud_call(op, purpose, Priority::Usual);
             return;
         }
-        for l in &so_far {
-            let class = self.catalog.iter().position(|c| c.name == l.class);
-            h.see_listed(now, class, l);
+        let lag = self.settings.platform.facts.cloud.list_lag_s;
+        let (now, settled_s) = (self.now, LISTED_LAGS * lag + REPEAT_S);
+        for h in self.parked.values_mut() {
+            for l in &so_far {
+                let class = self.catalog.iter().position(|c| c.name == l.class);
+                h.see_listed(now, class, l);
+            }
+            h.miss_listed(now, settled_s, &so_far);
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.scale.listed = true;
+            for l in so_far {
+                let id = MachineId::from(l.id.as_str());
+                self.add_stray((id, l.class, l.zone, l.spot));
+            }
         }
-        h.scale.listed = true;
     }
 
     /// Machines that don't come up are deleted and, if still wanted, replaced.
-    fn doom_unborn(&mut self) {
+    pub(crate) fn doom_unborn(&mut self) {
         let now = self.now;
         let boot = self.settings.tuning.boot;
         let Some(h) = &mut self.holder else {
@@ -214,8 +237,12 @@
         }
     }
 
-    fn delete_doomed(&mut self) {
+    /// A deletion needs no lease: it can only cost a machine, and proves its tasks gone.
+    pub(crate) fn delete_doomed(&mut self) {
         let now = self.now;
+        if self.blind() {
+            return;
+        }
         let Some(h) = &mut self.holder else {
             return;
         };
@@ -267,46 +294,119 @@
 
     fn tick(&mut self) {
         let now = self.now;
-        let tick_s = self.settings.tuning.tick_s;
-        let Some(h) = &mut self.holder else {
+        let window_s = self.settings.tuning.window_s;
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        let s = &mut h.scale;
+        let s = &mut lead.scale;
         let unanswered = s.hires.iter().any(|x| x.step != HireStep::Answered);
-        if s.ready.is_none() && s.listed && !unanswered {
+        let blocks = self.cache.blocks.len();
+        if s.ready.is_none() && s.listed && !unanswered && lead.tallies.len() >= blocks {
             s.ready = Some(now);
             s.tick_at = now;
-            info!("counts are rebuilt: {} machines known", h.machines.len());
+            info!("counts are rebuilt");
         }
-        let Some(ready) = h.scale.ready.filter(|_| now >= h.scale.tick_at) else {
+        let Some(ready) = lead.scale.ready.filter(|_| now >= lead.scale.tick_at) else {
+            return;
+        };
+        lead.scale.tick_at = now.after(self.settings.tuning.tick_s);
+        self.tally_chores();
+        let sums = self.sum_up();
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        h.scale.tick_at = now.after(tick_s);
-        let counts = h.counts(&self.catalog, &self.settings, now);
-        for (pool, count) in counts {
-            let wanted = count.wanted(&self.settings.tuning);
-            h.scale
-                .remember(pool, now, wanted, self.settings.tuning.window_s);
+        lead.needs.clear();
+        for (pool, blocks) in sums.counts {
+            // A machine serves its own block only, so each block's gap is its own.
+            let (mut wanted, mut gap, mut provisioned) = (0, 0, 0);
+            for (block, count) in &blocks {
+                let w = count.wanted(&self.settings.tuning);
+                let need = w.saturating_sub(count.provisioned);
+                (wanted, gap, provisioned) =
+                    (wanted + w, gap + need, provisioned + count.provisioned);
+                let name = self.catalog[pool.0].name.clone();
+                lead.needs.insert((name, pool.1, *block), need);
+            }
+            lead.scale.remember(pool, now, wanted, window_s);
+            let ceiling = (self.settings.tuning.ceiling as u32).saturating_sub(provisioned);
             let rise = (self.settings.tuning.rise as u32).min(RENT_MAX);
-            let gap = wanted.saturating_sub(count.provisioned).min(rise);
+            let asked = sums.asked.get(&pool).copied().unwrap_or(0);
+            let gap = gap.min(ceiling).saturating_sub(asked).min(rise);
             if gap > 0 {
-                h.rent(&self.catalog, pool, gap, now);
+                lead.scale
+                    .rent(&self.catalog, pool, gap, &sums.zones, lead.number, now);
             }
             // A new leader hasn't seen how high the count stood before its time.
-            if now.since(ready) < self.settings.tuning.window_s {
+            if now.since(ready) < window_s {
                 continue;
             }
-            let keep = h.scale.highest(pool).max(wanted);
-            h.give_back(pool, count.provisioned.saturating_sub(keep), now);
+            let keep = lead.scale.highest(pool).max(wanted);
+            let surplus = (provisioned + asked).saturating_sub(keep) as usize;
+            let idle = sums.empty.get(&pool).into_iter().flatten();
+            let before = lead.scale.returns.len();
+            lead.scale.returns.extend(idle.take(surplus).cloned());
+            lead.scale.plan_dirty |= lead.scale.returns.len() > before;
+        }
+    }
+
+    /// Adds up what the blocks' holders count.
+    fn sum_up(&self) -> Sums {
+        let mut sums = Sums::default();
+        let class = |name: &str| self.catalog.iter().position(|c| c.name == name);
+        for t in self.believed() {
+            for (name, spot, c) in &t.pools {
+                if let Some(class) = class(name) {
+                    let pool = sums.counts.entry((class, *spot)).or_default();
+                    pool.insert(t.block, *c);
+                }
+            }
+            for (name, spot, zone, n) in &t.zones {
+                if let Some(class) = class(name) {
+                    let key = ((class, *spot), zone.clone());
+                    *sums.zones.entry(key).or_default() += n;
+                }
+            }
+            for (name, spot, id) in &t.empty {
+                if let Some(class) = class(name) {
+                    let pool = sums.empty.entry((class, *spot)).or_default();
+                    pool.push(id.clone());
+                }
+            }
+        }
+        let hires = self.lead.iter().flat_map(|l| &l.scale.hires);
+        for x in hires.filter(|x| x.step != HireStep::Answered) {
+            if let Some(class) = class(&x.rec.class) {
+                *sums.asked.entry((class, x.rec.spot)).or_default() += x.rec.count;
+            }
+        }
+        sums
+    }
+
+    /// Returns the machines that the leader's plan names, if they are still empty.
+    pub(crate) fn obey_plan(&mut self) {
+        let mark = self.cache.plan.mark;
+        if mark == self.plan_seen {
+            return;
+        }
+        self.plan_seen = mark;
+        let now = self.now;
+        let returns = self.cache.plan.rec.iter().flat_map(|p| &p.returns);
+        for id in returns {
+            for h in self.parked.values_mut() {
+                let idle = |m: &Machine| m.up.is_some() && m.tasks.is_empty();
+                if h.machines.get(id).is_some_and(idle) {
+                    h.doom(now, id, "it is empty and no longer wanted");
+                }
+            }
         }
     }
 
     fn repeat_hires(&mut self) {
         let now = self.now;
-        let Some(h) = &self.holder else {
+        let Some(lead) = &self.lead else {
             return;
         };
-        let due: Vec<HireRec> = h
+        let due: Vec<HireRec> = lead
             .scale
             .hires
             .iter()
@@ -319,18 +419,18 @@
             if !self.cloud_call(CloudOp::Rent(rec), purpose, Priority::Usual) {
                 return;
             }
-            if let Some(h) = &mut self.holder {
-                h.scale.step(&name, HireStep::Sent, now);
+            if let Some(lead) = &mut self.lead {
+                lead.scale.step(&name, HireStep::Sent, now);
             }
         }
     }
 
     fn on_rented(&mut self, name: &str, reply: CloudReply) {
         let now = self.now;
-        let Some(h) = &mut self.holder else {
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        let Some(rec) = h.scale.hires.iter().find(|x| x.rec.name == name) else {
+        let Some(rec) = lead.scale.hires.iter().find(|x| x.rec.name == name) else {
             return;
         };
         let rec = rec.rec.clone();
@@ -350,78 +450,104 @@
                     if rec.spot { ", spot" } else { "" }
                 );
                 if (rigs.len() as u32) < rec.count {
-                    h.scale.refuse(place, now);
+                    lead.scale.refuse(place, now);
                 } else {
-                    h.scale.refused.remove(&place);
+                    lead.scale.refused.remove(&place);
                 }
-                for id in rigs {
-                    if !h.machines.contains_key(&id) && !h.gone.contains_key(&id) {
-                        let m = Machine::new(Some(class), &rec.class, &rec.zone, rec.spot, now);
-                        h.add_machine(id, m);
-                    }
-                }
-                h.scale.step(name, HireStep::Answered, now);
+                lead.scale.step(name, HireStep::Answered, now);
+                self.take_rented(class, &rec, rigs);
             }
             CloudReply::Refused => {
                 warn!("no capacity for {} in {}", rec.class, rec.zone);
-                h.scale.refuse(place, now);
-                h.scale.hires.retain(|x| x.rec.name != name);
-                h.scale.plan_dirty = true;
+                lead.scale.refuse(place, now);
+                lead.scale.hires.retain(|x| x.rec.name != name);
+                lead.scale.plan_dirty = true;
             }
-            _ => h.scale.step(name, HireStep::Written, now.after(REPEAT_S)),
+            _ => lead
+                .scale
+                .step(name, HireStep::Written, now.after(REPEAT_S)),
         }
     }
 
+    /// New machines join the only block at once, or a block's list.
+    fn take_rented(&mut self, class: usize, rec: &HireRec, rigs: Vec<MachineId>) {
+        let now = self.now;
+        let whole = self.parked.values_mut().find(|h| h.whole);
+        if let Some(h) = whole {
+            for id in rigs {
+                if !h.machines.contains_key(&id) && !h.gone.contains_key(&id) {
+                    let m = Machine::new(Some(class), &rec.class, &rec.zone, rec.spot, now);
+                    h.add_machine(id, m);
+                }
+            }
+            return;
+        }
+        for id in rigs {
+            self.add_stray((id, rec.class.clone(), rec.zone.clone(), rec.spot));
+        }
+        self.lease_chores();
+    }
+
     // ---- the plan
 
     /// Writes wanted counts and rentals. A rental is sent only once it stands here.
     fn write_plan(&mut self) {
         let lag = self.settings.platform.facts.cloud.list_lag_s;
         let now = self.now;
-        let Some(h) = &mut self.holder else {
+        let shares = self.job_shares();
+        let when = vec![(Key::Leader, self.cache.leader.version())];
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        let before = h.scale.hires.len();
+        let s = &mut lead.scale;
+        let before = s.hires.len();
         let kept_s = 3.0 * lag + 5.0;
-        h.scale
-            .hires
+        s.hires
             .retain(|x| x.step != HireStep::Answered || now.since(x.at) < kept_s);
-        h.scale.plan_dirty |= h.scale.hires.len() != before;
-        if h.scale.plan_busy || !h.scale.plan_dirty {
+        let closed = s.closed(&self.catalog, now);
+        s.plan_dirty |= s.hires.len() != before || s.shares != shares || s.closed != closed;
+        if s.plan_busy || !s.plan_dirty {
             return;
         }
-        let wanted = h.scale.wanted.iter().filter_map(|((class, spot), w)| {
+        let wanted = s.wanted.iter().filter_map(|((class, spot), w)| {
             let name = self.catalog.get(*class)?.name.clone();
             Some((name, *spot, w.back()?.1))
         });
         let plan = PlanRec {
-            number: h.number,
+            number: lead.number,
             wanted: wanted.collect(),
-            hires: h.scale.hires.iter().map(|x| x.rec.clone()).collect(),
+            hires: s.hires.iter().map(|x| x.rec.clone()).collect(),
+            shares: shares.clone(),
+            closed: closed.clone(),
+            returns: s.returns.clone(),
         };
         let op = StateOp::Commit {
-            when: vec![(Key::Block(0), h.block_mark)],
+            when,
             writes: vec![Write::put(Key::Plan, Record::Plan(plan))],
         };
         if self.state_call(op, Purpose::Plan, Priority::First).is_ok() {
-            if let Some(h) = &mut self.holder {
-                h.scale.plan_busy = true;
-                h.scale.plan_dirty = false;
+            if let Some(lead) = &mut self.lead {
+                lead.scale.plan_busy = true;
+                lead.scale.plan_dirty = false;
+                lead.scale.shares = shares;
+                lead.scale.closed = closed;
+                lead.scale.returns.clear();
             }
         }
     }
 
     pub(crate) fn on_planned(&mut self, reply: StateReply) {
         let now = self.now;
-        let Some(h) = &mut self.holder else {
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        h.scale.plan_busy = false;
+        let s = &mut lead.scale;
+        s.plan_busy = false;
         if let StateReply::Committed { .. } = reply {
             // Hires planned while the commit was under way made the plan dirty
             // again, and wait for the next one.
-            if !h.scale.plan_dirty {
-                for x in &mut h.scale.hires {
+            if !s.plan_dirty {
+                for x in &mut s.hires {
                     if x.step == HireStep::Planned {
                         (x.step, x.at) = (HireStep::Written, now);
                     }
@@ -429,25 +555,22 @@
             }
             self.repeat_hires();
         } else {
-            h.scale.plan_dirty = true;
+            s.plan_dirty = true;
         }
     }
 }
 
-/// What a tick counts for one pool.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct PoolCount {
-    /// Machines' worth of tasks that found no room.
-    pub queued: f64,
-    /// Machines' worth of tasks that are placed.
-    pub running: f64,
-    /// Machines with at least one task.
-    pub busy: u32,
-    pub provisioned: u32,
-    /// Machines' worth of room that is free on machines in use.
-    pub spare: f64,
-    /// Whether services run here: room is kept for the next ones.
-    pub urgent: bool,
+/// Machines of a pool by zone.
+type Zones = BTreeMap<(Pool, String), u32>;
+
+/// What the blocks' holders count, put together.
+#[derive(Default)]
+struct Sums {
+    counts: BTreeMap<Pool, BTreeMap<u32, PoolCount>>,
+    zones: Zones,
+    empty: BTreeMap<Pool, Vec<MachineId>>,
+    /// Machines asked for, without an answer yet.
+    asked: BTreeMap<Pool, u32>,
 }
 
 impl PoolCount {
@@ -472,7 +595,7 @@
     fn committing_on(&self, m: &Machine) -> bool {
         m.tasks.iter().any(|t| {
             let p = self.jobs.get(&t.job).and_then(|l| l.placed.get(&t.index));
-            p.is_some_and(|p| p.phase == blocks::Phase::Committing)
+            p.is_some_and(|p| p.phase == holder::Phase::Committing)
         })
     }
 
@@ -482,14 +605,18 @@
         if self.gone.contains_key(&id) {
             return;
         }
-        if !self.machines.contains_key(&id) {
+        if self.whole && !self.machines.contains_key(&id) {
             let mut m = Machine::new(class, &l.class, &l.zone, l.spot, now);
             m.since = Time(now.0.saturating_sub((l.age_s().max(0.0) * 1000.0) as u64));
-            if l.stance == MachineStance::Running {
-                m.up = Some(now);
-            }
             self.add_machine(id.clone(), m);
         }
+        let Some(m) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if l.stance == MachineStance::Running && m.up.is_none() {
+            // From now on it counts as silent unless it reports.
+            (m.up, m.seen) = (Some(now), now);
+        }
         let known = self.machines.get_mut(&id);
         if let Some(m) = known.filter(|m| m.class == usize::MAX) {
             m.class = class.unwrap_or(usize::MAX);
@@ -501,6 +628,24 @@
         }
     }
 
+    /// Machines that should be listed by now and never were, nor ever reported, are
+    /// gone or never came to be. Absence proves nothing, so they are deleted.
+    fn miss_listed(&mut self, now: Time, settled_s: f64, list: &[Listed]) {
+        let since = self.since;
+        let unseen = |m: &Machine| {
+            m.up.is_none() && m.doomed.is_none() && now.since(m.since.max(since)) > settled_s
+        };
+        let missing: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(id, m)| unseen(m) && !list.iter().any(|l| l.id == id.as_str()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.doom(now, &id, "the cloud doesn't list it");
+        }
+    }
+
     /// Forgets a deleted machine; its tasks are proven gone. Returns the request
     /// that waited for its commands.
     fn remove_machine(&mut self, now: Time, id: &MachineId) -> Option<ReqId> {
@@ -520,11 +665,11 @@
     }
 
     /// Counts every pool.
-    fn counts(
+    pub(crate) fn counts(
         &self,
         catalog: &[ClassInfo],
         settings: &Settings,
-        now: Time,
+        closed: &[Closed],
     ) -> BTreeMap<Pool, PoolCount> {
         let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
         for class in 0..catalog.len() {
@@ -535,14 +680,6 @@
         for m in self.machines.values() {
             self.count_machine(catalog, m, &mut counts);
         }
-        for x in &self.scale.hires {
-            if x.step != HireStep::Answered {
-                let class = catalog.iter().position(|c| c.name == x.rec.class);
-                if let Some(c) = class.and_then(|c| counts.get_mut(&(c, x.rec.spot))) {
-                    c.provisioned += x.rec.count;
-                }
-            }
-        }
         let mut team_left = HashMap::new();
         for id in &self.waiting {
             let Some(live) = self.jobs.get(id) else {
@@ -552,7 +689,7 @@
             if hopeless || !within_limit(self, settings, &live.rec) {
                 continue;
             }
-            let pool = self.pool_for(catalog, &live.rec, now);
+            let pool = pool_for(catalog, &live.rec, closed);
             let Some(pool) = pool else {
                 continue;
             };
@@ -610,10 +747,11 @@
         };
         let used = self.teams.get(&rec.team).copied().unwrap_or_default();
         let room = left.entry(rec.team.clone()).or_insert_with(|| {
-            let part = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::MAX };
+            let (cpus, gpus) = self.allowance(team);
+            let part = |max: f64, used: f64| if max < f64::MAX { max - used } else { max };
             Room {
-                cpus: part(team.cpus_max, used.cpus),
-                gpus: part(team.gpus_max, used.gpus),
+                cpus: part(cpus, used.cpus),
+                gpus: part(gpus, used.gpus),
                 mem: f64::MAX,
             }
         });
@@ -634,42 +772,71 @@
         }
         tasks as u32
     }
+}
 
-    /// The pool on which a task counts: the smallest type that fits, spot where the
-    /// job may use it. Where the cloud has nothing left, the next one.
-    fn pool_for(&self, catalog: &[ClassInfo], rec: &JobRec, now: Time) -> Option<Pool> {
-        let mut pools: Vec<Pool> = Vec::new();
-        for (class, info) in catalog.iter().enumerate() {
-            let named = rec.types.as_ref().is_none_or(|t| t.contains(&info.name));
-            if named && info.room.holds(rec.need) {
-                pools.push((class, false));
-                if rec.spot {
-                    pools.push((class, true));
-                }
+/// The pool on which a task counts: the smallest type that fits, spot where the
+/// job may use it. Where the cloud has nothing left, the next one.
+fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
+    let mut pools: Vec<Pool> = Vec::new();
+    for (class, info) in catalog.iter().enumerate() {
+        let named = rec.types.as_ref().is_none_or(|t| t.contains(&info.name));
+        if named && info.room.holds(rec.need) {
+            pools.push((class, false));
+            if rec.spot {
+                pools.push((class, true));
             }
         }
-        pools.sort_by(|a, b| {
-            let size = |p: &Pool| catalog[p.0].room.gpus + catalog[p.0].room.cpus / 1e3;
-            b.1.cmp(&a.1).then(size(a).total_cmp(&size(b)))
-        });
-        let open = |pool: &&Pool| {
-            let zones = &catalog[pool.0].zones;
-            let mut zones = zones
-                .iter()
-                .filter(|z| rec.zone.as_ref().is_none_or(|r| r == *z));
-            zones.any(|z| self.scale.open(pool, z, now))
-        };
-        pools.iter().find(open).or(pools.first()).copied()
     }
+    pools.sort_by(|a, b| {
+        let size = |p: &Pool| catalog[p.0].room.gpus + catalog[p.0].room.cpus / 1e3;
+        b.1.cmp(&a.1).then(size(a).total_cmp(&size(b)))
+    });
+    let open = |pool: &&Pool| {
+        let name = &catalog[pool.0].name;
+        let zones = &catalog[pool.0].zones;
+        let mut zones = zones
+            .iter()
+            .filter(|z| rec.zone.as_ref().is_none_or(|r| r == *z));
+        zones.any(|z| {
+            !closed
+                .iter()
+                .any(|c| c.0 == *name && c.1 == *z && c.2 == pool.1)
+        })
+    };
+    pools.iter().find(open).or(pools.first()).copied()
+}
 
+/// How many of a task one machine holds; at least one.
+fn per_machine(class: &ClassInfo, need: Room) -> f64 {
+    let fit = |have: f64, need: f64| {
+        if need > 0.0 {
+            (have / need + 1e-6).floor()
+        } else {
+            f64::MAX
+        }
+    };
+    fit(class.room.cpus, need.cpus)
+        .min(fit(class.room.gpus, need.gpus))
+        .min(fit(class.room.mem, need.mem))
+        .clamp(1.0, 1e6)
+}
+
+impl Scale {
     /// Plans rentals, each machine to the open zone with fewest such machines.
-    fn rent(&mut self, catalog: &[ClassInfo], pool: Pool, gap: u32, now: Time) {
+    fn rent(
+        &mut self,
+        catalog: &[ClassInfo],
+        pool: Pool,
+        gap: u32,
+        there: &Zones,
+        term: Number,
+        now: Time,
+    ) {
         let info = &catalog[pool.0];
         let mut zones: Vec<(u32, &String, u32)> = Vec::new();
         for zone in &info.zones {
-            if self.scale.open(&pool, zone, now) {
-                let there = |m: &&Machine| (m.class, m.spot) == pool && *m.zone == **zone;
-                let have = self.machines.values().filter(there).count() as u32;
+            if self.open(&pool, zone, now) {
+                let have = there.get(&(pool, zone.clone())).copied().unwrap_or(0);
                 zones.push((have, zone, 0));
             }
         }
@@ -679,65 +846,35 @@
             };
             least.2 += 1;
         }
-        for (_, zone, count) in zones {
-            if count == 0 {
-                continue;
-            }
-            self.scale.hire_count += 1;
+        for (_, zone, count) in zones.into_iter().filter(|z| z.2 > 0) {
+            self.hire_count += 1;
             let rec = HireRec {
-                name: format!("r-{}-{}", self.number.0, self.scale.hire_count),
+                name: format!("r-{}-{}", term.0, self.hire_count),
                 class: info.name.clone(),
                 zone: zone.clone(),
                 spot: pool.1,
                 count,
             };
-            self.scale.hires.push(Hire {
+            self.hires.push(Hire {
                 rec,
                 step: HireStep::Planned,
                 at: now,
             });
-            self.scale.plan_dirty = true;
+            self.plan_dirty = true;
         }
     }
 
-    /// Returns empty machines that weren't wanted for the whole window.
-    fn give_back(&mut self, pool: Pool, surplus: u32, now: Time) {
-        let mut empty: Vec<(usize, MachineId)> = Vec::new();
-        for (id, m) in &self.machines {
-            let idle = m.up.is_some() && m.tasks.is_empty() && m.doomed.is_none();
-            if idle && (m.class, m.spot) == pool {
-                empty.push((m.images.len(), id.clone()));
-            }
-        }
-        // Those with the fewest images are missed least.
-        empty.sort();
-        let names: BTreeSet<MachineId> = empty
-            .into_iter()
-            .take(surplus as usize)
-            .map(|e| e.1)
-            .collect();
-        for id in names {
-            self.doom(now, &id, "it is empty and no longer wanted");
-        }
+    /// What the cloud has nothing left of, for the plan.
+    fn closed(&self, catalog: &[ClassInfo], now: Time) -> Vec<Closed> {
+        let shut = self.refused.iter().filter(|(_, (until, _))| now < *until);
+        let shut = shut.filter_map(|((class, zone, spot), _)| {
+            Some((catalog.get(*class)?.name.clone(), zone.clone(), *spot))
+        });
+        let mut shut: Vec<Closed> = shut.collect();
+        shut.sort();
+        shut
     }
-}
 
-/// How many of a task one machine holds; at least one.
-fn per_machine(class: &ClassInfo, need: Room) -> f64 {
-    let fit = |have: f64, need: f64| {
-        if need > 0.0 {
-            (have / need + 1e-6).floor()
-        } else {
-            f64::MAX
-        }
-    };
-    fit(class.room.cpus, need.cpus)
-        .min(fit(class.room.gpus, need.gpus))
-        .min(fit(class.room.mem, need.mem))
-        .clamp(1.0, 1e6)
-}
-
-impl Scale {
     fn open(&self, pool: &Pool, zone: &str, now: Time) -> bool {
         let key = (pool.0, zone.to_string(), pool.1);
         self.refused
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -1,841 +1,576 @@
-//! The holder of a block: its jobs, machines and placements, and how they are
-//! written. A placement is committed, on the condition that the block and the job
-//! are unchanged, before its start is sent to anyone.
+//! How the leader leases blocks: to whom, with which machines and allowances.
+//!
+//! While the fleet is small there is one block with everything in it, held by the
+//! leader itself. Cutting a fleet cuts packing, limits and caches as well, so there
+//! are more blocks only once each has enough machines.
 
-use super::health::Health;
+use super::autoscaler::Scale;
 use super::*;
-use log::{debug, info, warn};
+use crate::peer::TeamCount;
+use crate::wire::Report;
+use log::info;
 use std::collections::BTreeSet;
-use std::rc::Rc;
-
-/// How far a placement has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Not yet known to be committed: never sent.
-    Committing,
-    /// Committed; its start goes with the next answer to its machine.
-    Ready,
-    /// Sent, and not seen in a report yet.
-    Sent,
-    Fetching,
-    Running,
-    Flushing,
-    /// Placed by an earlier holder; this one has no proof of what became of it.
-    Doubt,
-}
-
-#[derive(Clone, Debug)]
-pub struct Placement {
-    pub machine: MachineId,
-    pub zone: Rc<str>,
-    pub attempt: Attempt,
-    pub phase: Phase,
-    /// Since when it is in this phase.
-    pub since: Time,
-    /// When it was first told to stop, if it was.
-    pub halted: Option<Time>,
-    pub sends: u32,
-}
 
-/// A job of the block.
-#[derive(Debug)]
-pub struct Live {
-    pub rec: Rc<JobRec>,
-    pub mark: u64,
-    /// Order of arrival: the revision of its acceptance.
-    pub arrival: u64,
-    pub since: Time,
-    pub withdrawn: Option<Time>,
-    pub done: Vec<bool>,
-    pub done_count: u32,
-    pub placed: BTreeMap<u32, Placement>,
-    /// No queued task has an index below this one.
-    pub queue_from: u32,
-    pub chunks: BTreeMap<u32, Chunk>,
-    pub finishing: bool,
-    pub not_before: Time,
-    pub fails: u32,
-    /// Machines on which its tasks failed lately.
-    pub failed_on: BTreeSet<MachineId>,
-    /// Room is being made by stopping others until then.
-    pub preempting: Time,
-}
-
-/// What is written of a chunk.
+/// Share of a block's lease without a count from its holder after which it goes to
+/// another controller.
+const SILENT_SHARE: f64 = 0.25;
+/// Share of the value limit that a block's list of machines may fill.
+const LIST_SHARE: f64 = 0.7;
+/// JSON bytes of a machine in that list, generously.
+const ENTRY_BYTES: f64 = 80.0;
+/// Names of deleted machines are kept this long, in seconds.
+const GONE_S: f64 = 300.0;
+/// Longest list of empty or deleted machines in one message.
+const NAMES_MAX: usize = 100;
+/// Counts older than this are no longer believed, in ticks.
+const STALE_TICKS: f64 = 3.0;
+
+/// What a leader knows besides what it holds itself.
 #[derive(Debug, Default)]
-pub struct Chunk {
-    pub mark: u64,
-    pub busy: bool,
-    /// Finished tasks that aren't written yet; their results aren't cleared.
-    pub unwritten: bool,
+pub(crate) struct Lead {
+    pub(crate) scale: Scale,
+    /// The latest counts of each block, and when they came.
+    pub(crate) tallies: BTreeMap<u32, (Tally, Time)>,
+    /// Machines that each block lacks, by type and kind.
+    pub(crate) needs: BTreeMap<(String, bool, u32), u32>,
+    /// Machines that belong to no block yet.
+    strays: BTreeMap<MachineId, Entry>,
+    /// Machines that holders deleted, and when that was heard: lists show them still.
+    gone: BTreeMap<MachineId, Time>,
+    /// A change of leases is being committed.
+    busy: bool,
+    since: Time,
+    /// This leadership's own number: no other one has it.
+    pub(crate) number: Number,
 }
 
-/// One chunk in a commit, with the placements that it makes good.
-#[derive(Debug)]
-pub struct FlushItem {
-    pub job: JobId,
-    pub chunk: u32,
-    pub placed: Vec<(u32, Attempt)>,
-}
-
-/// A machine of the block.
-#[derive(Debug)]
-pub struct Machine {
-    pub class: usize,
-    pub class_name: Rc<str>,
-    pub zone: Rc<str>,
-    pub spot: bool,
-    /// When it was rented or first heard of.
-    pub since: Time,
-    /// When its first report came; `None` while it boots.
-    pub up: Option<Time>,
-    pub session: u64,
-    pub seq: u64,
-    /// A report showed that it has this block's number.
-    pub shown: bool,
-    pub seen: Time,
-    /// When this process last answered one of its reports with 200.
-    pub answered: Time,
-    pub notice: Option<Time>,
-    pub tasks: BTreeSet<TaskId>,
-    pub used: Room,
-    /// To be deleted, at this moment even if tasks are left on it. Nothing is placed
-    /// on it any more.
-    pub doomed: Option<Time>,
-    pub deleting: bool,
-    /// The request that waits for a command, and until when.
-    pub held: Option<(ReqId, Time)>,
-    /// Images it should have, latest use last.
-    pub images: Vec<(Image, f64)>,
-    pub health: Health,
-    /// Since when it has had no task.
-    pub empty: Option<Time>,
-    /// A start was refused for want of room.
-    pub full_until: Time,
-}
-
-impl Machine {
-    pub fn has_image(&self, image: &Image) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
-    }
-
-    /// Notes that an image is used now; the cache drops the one unused for longest.
-    pub fn use_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.clone(), gb));
-        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
-        while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
-        }
-    }
-}
-
-pub struct Holder {
-    pub number: Number,
-    pub block_mark: u64,
-    pub since: Time,
-    pub(crate) count: u64,
-    pub jobs: BTreeMap<JobId, Live>,
-    pub machines: BTreeMap<MachineId, Machine>,
-    pub(crate) teams: HashMap<String, Room>,
-    /// Jobs with queued tasks.
-    pub(crate) waiting: BTreeSet<JobId>,
-    pub(crate) place_wanted: bool,
-    pub(crate) place_at: Time,
-    /// Chunks to write, by urgency.
-    pub(crate) to_flush: BTreeSet<(u8, JobId, u32)>,
-    pub(crate) flushing: usize,
-    /// Jobs whose last record is to be written: all done, or withdrawn and gone.
-    pub(crate) to_finish: BTreeSet<JobId>,
-    pub(crate) orphans: Vec<(JobId, u32)>,
-    pub(crate) cleaning: bool,
-    /// When held answers must go out.
-    pub(crate) releases: BTreeSet<(Time, MachineId)>,
-    pub(crate) gone: BTreeMap<MachineId, Time>,
-    pub(crate) scale: autoscaler::Scale,
-    pub(crate) heard: Time,
-}
-
-/// Chunks with placements have the urgency of their rank, 0 to 3; this one is that of
-/// chunks with results only.
-const FLUSH_RESULTS: u8 = 4;
-/// Commits under way at once.
-const FLUSHES: usize = 4;
-/// JSON bytes of chunks in one transaction, below the limit of 64 KiB.
-const FLUSH_BYTES: usize = 40 * 1024;
-
-impl Holder {
-    pub fn new(number: Number, block_mark: u64, now: Time) -> Self {
-        Self {
-            number,
-            block_mark,
-            since: now,
-            count: 0,
-            jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
-            teams: HashMap::new(),
-            waiting: BTreeSet::new(),
-            place_wanted: true,
-            place_at: now,
-            to_flush: BTreeSet::new(),
-            flushing: 0,
-            to_finish: BTreeSet::new(),
-            orphans: Vec::new(),
-            cleaning: false,
-            releases: BTreeSet::new(),
-            gone: BTreeMap::new(),
-            scale: autoscaler::Scale::default(),
-            heard: now,
+impl Core {
+    /// The blocks that a new leader takes for itself: the only one, and those whose
+    /// holders aren't heard of.
+    pub(crate) fn blocks_to_take(&self) -> Vec<u32> {
+        let recs = self.cache.blocks.iter();
+        let recs: Vec<(u32, &BlockRec)> = recs
+            .filter_map(|(k, b)| Some((*k, b.rec.as_ref()?)))
+            .collect();
+        if recs.len() <= 1 {
+            return vec![0];
         }
-    }
-
-    pub fn first_release(&self) -> Option<Time> {
-        self.releases.first().map(|(t, _)| *t)
-    }
-
-    pub(crate) fn held_requests(&self) -> Vec<ReqId> {
-        let held = self.machines.values().filter_map(|m| m.held);
-        held.map(|(req, _)| req).collect()
-    }
-
-    pub(crate) fn forget_request(&mut self, req: ReqId) {
-        let held = self
-            .releases
+        let lost = recs
             .iter()
-            .find(|(_, id)| self.machines[id].held.is_some_and(|(r, _)| r == req))
-            .cloned();
-        if let Some(entry) = held {
-            self.releases.remove(&entry);
-            if let Some(m) = self.machines.get_mut(&entry.1) {
-                m.held = None;
-            }
-        }
+            .filter(|(_, b)| !self.process_lives(&b.holder, b.boot));
+        lost.map(|(k, _)| *k).collect()
     }
 
-    pub(crate) fn next_attempt(&mut self) -> Attempt {
-        self.count += 1;
-        Attempt::new(self.number, self.count)
+    /// Whether a process, this one or a sibling's, was heard of lately.
+    fn process_lives(&self, member: &Member, boot: u64) -> bool {
+        if *member == self.settings.platform.member {
+            return boot == self.boot;
+        }
+        self.lately().any(|h| h.from == *member && h.boot == boot)
     }
 
-    /// Enters a placement: its room and quota count from now on.
-    pub(crate) fn put(&mut self, job: &JobId, index: u32, placement: Placement) {
-        let Some(live) = self.jobs.get_mut(job) else {
-            return;
+    /// A block's record with this process as its holder, and the revision it replaces.
+    pub(crate) fn lease_to_me(&self, block: u32, number: Number) -> (u64, BlockRec) {
+        let slot = self.cache.blocks.get(&block).cloned().unwrap_or_default();
+        let version = slot.version();
+        let old = slot.rec;
+        let rec = BlockRec {
+            holder: self.settings.platform.member.clone(),
+            boot: self.boot,
+            number,
+            machines: old.as_ref().and_then(|b| b.machines.clone()),
+            allowances: old.and_then(|b| b.allowances),
         };
-        let need = live.rec.need;
-        if let Some(m) = self.machines.get_mut(&placement.machine) {
-            m.used.add(need, 1.0);
-            m.empty = None;
-            m.tasks.insert(TaskId {
-                job: job.clone(),
-                index,
-            });
-        }
-        self.teams
-            .entry(live.rec.team.clone())
-            .or_default()
-            .add(need, 1.0);
-        live.placed.insert(index, placement);
+        (version, rec)
+    }
+
+    pub(crate) fn start_leading(&mut self) {
+        self.lead = Some(Lead {
+            since: self.now,
+            number: self
+                .cache
+                .leader
+                .rec
+                .as_ref()
+                .map_or(Number(0), |l| l.number),
+            ..Lead::default()
+        });
+        self.share_budgets();
+        self.rebuild_scale();
     }
 
-    /// Takes a placement out, once its task is proven gone or was never sent.
-    pub(crate) fn take(&mut self, now: Time, task: &TaskId) {
-        let Some(live) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(p) = live.placed.remove(&task.index) else {
-            return;
-        };
-        let need = live.rec.need;
-        if let Some(used) = self.teams.get_mut(&live.rec.team) {
-            used.add(need, -1.0);
-        }
-        if let Some(m) = self.machines.get_mut(&p.machine) {
-            m.used.add(need, -1.0);
-            m.tasks.remove(task);
-            if m.tasks.is_empty() {
-                m.used = Room::default();
-                m.empty = Some(now);
-            }
+    /// The block that takes a new job: by the job's name, in proportion to the shares
+    /// in the plan, so that every node comes to the same block.
+    pub(crate) fn block_for(&self, id: &JobId) -> u32 {
+        let shares = self.cache.plan.rec.as_ref().map(|p| p.shares.as_slice());
+        let shares = shares.unwrap_or(&[]);
+        let total: u64 = shares.iter().map(|(_, n)| u64::from(*n)).sum();
+        if total == 0 {
+            return 0;
         }
-        let done = live.done.get(task.index as usize).copied().unwrap_or(true);
-        if live.withdrawn.is_some() {
-            if live.placed.is_empty() {
-                self.to_finish.insert(task.job.clone());
+        let mut at = spread(id.as_str()) % total;
+        for (block, n) in shares {
+            if at < u64::from(*n) {
+                return *block;
             }
-        } else if !done {
-            live.queue_from = live.queue_from.min(task.index);
-            self.waiting.insert(task.job.clone());
+            at -= u64::from(*n);
         }
-        self.place_wanted = true;
+        0
     }
 
-    /// Notes a finished task.
-    pub(crate) fn set_done(&mut self, now: Time, task: &TaskId) {
-        let Some(live) = self.jobs.get_mut(&task.job) else {
+    // ---- counts
+
+    /// Tells the leader what the block in hand counts.
+    fn say_tally(&mut self) {
+        let Some(tally) = self.tally() else {
             return;
         };
-        match live.done.get_mut(task.index as usize) {
-            Some(done) if !*done => *done = true,
-            _ => return self.take(now, task),
-        }
-        live.done_count += 1;
-        live.fails = 0;
-        let chunk = task.index / live.rec.chunk.max(1);
-        live.chunks.entry(chunk).or_default().unwritten = true;
-        let all = live.done_count == live.rec.count;
-        if all && live.withdrawn.is_none() {
-            self.to_finish.insert(task.job.clone());
-        } else {
-            self.to_flush
-                .insert((FLUSH_RESULTS, task.job.clone(), chunk));
-        }
-        self.take(now, task);
-    }
-
-    /// The present content of a chunk's record.
-    fn run_rec(&self, live: &Live, chunk: u32) -> RunRec {
-        let size = live.rec.chunk.max(1);
-        let (from, to) = (chunk * size, ((chunk + 1) * size).min(live.rec.count));
-        let mut rec = RunRec::default();
-        for index in from..to {
-            if live.done[index as usize] {
-                match rec.done.last_mut() {
-                    Some((_, end)) if *end == index => *end += 1,
-                    _ => rec.done.push((index, index + 1)),
-                }
+        if self.lead.is_some() {
+            return self.on_tally(tally);
+        }
+        let leader = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
+        if leader.is_some() {
+            let message = Message::Tally(Box::new(tally));
+            self.out.push(Output::Peer(leader, message));
+        }
+    }
+
+    fn tally(&self) -> Option<Tally> {
+        let h = self.holder.as_ref()?;
+        let catalog = &self.catalog;
+        let plan = self.cache.plan.rec.as_ref();
+        let closed = plan.map_or(&[][..], |p| &p.closed);
+        let named = |class: usize| catalog.get(class).map(|c| c.name.clone());
+        let pools = h.counts(catalog, &self.settings, closed).into_iter();
+        let pools = pools.filter_map(|((class, spot), c)| Some((named(class)?, spot, c)));
+        let mut zones: BTreeMap<(String, bool, String), u32> = BTreeMap::new();
+        let mut empty = Vec::new();
+        for (id, m) in &h.machines {
+            let key = (m.class_name.to_string(), m.spot, m.zone.to_string());
+            *zones.entry(key).or_default() += 1;
+            if m.up.is_some() && m.tasks.is_empty() && m.doomed.is_none() {
+                let name = m.class_name.to_string();
+                empty.push((m.images.len(), (name, m.spot, id.clone())));
             }
         }
-        for (index, p) in live.placed.range(from..to) {
-            let zone = p.zone.to_string();
-            rec.placed
-                .push((*index, p.attempt, p.machine.clone(), zone));
+        // Those with the fewest images are missed least.
+        empty.sort();
+        let empty = empty.into_iter().map(|(_, e)| e).take(NAMES_MAX);
+        let zones = zones.into_iter().map(|((c, s, z), n)| (c, s, z, n));
+        Some(Tally {
+            from: self.settings.platform.member.clone(),
+            block: h.block,
+            number: h.number,
+            mark: h.block_mark,
+            pools: pools.collect(),
+            zones: zones.collect(),
+            empty: empty.collect(),
+            gone: h.gone.keys().rev().take(NAMES_MAX).cloned().collect(),
+            teams: h.team_counts(),
+        })
+    }
+
+    pub(crate) fn on_tally(&mut self, tally: Tally) {
+        let now = self.now;
+        if let Some(lead) = &mut self.lead {
+            lead.gone.retain(|_, at| now.since(*at) < GONE_S);
+            lead.gone
+                .extend(tally.gone.iter().map(|id| (id.clone(), now)));
+            lead.tallies.insert(tally.block, (tally, now));
         }
-        rec
     }
-}
 
-impl Live {
-    fn new(job: &jobs::CachedJob, now: Time) -> Self {
-        Self {
-            rec: job.rec.clone(),
-            mark: job.mark,
-            arrival: job.mark,
-            since: now,
-            withdrawn: job.withdrawn,
-            done: vec![false; job.rec.count as usize],
-            done_count: 0,
-            placed: BTreeMap::new(),
-            queue_from: 0,
-            chunks: BTreeMap::new(),
-            finishing: false,
-            not_before: now,
-            fails: 0,
-            failed_on: BTreeSet::new(),
-            preempting: now,
-        }
+    /// Counts that are believed: of the present holder, and not too old.
+    pub(crate) fn believed(&self) -> Vec<&Tally> {
+        let stale = self.settings.tuning.tick_s * STALE_TICKS;
+        let Some(lead) = &self.lead else {
+            return Vec::new();
+        };
+        let all = lead.tallies.values();
+        let good = all.filter(|(t, at)| {
+            let rec = self.cache.blocks.get(&t.block).and_then(|b| b.rec.as_ref());
+            rec.is_some_and(|b| b.number == t.number) && self.now.since(*at) < stale
+        });
+        good.map(|(t, _)| t).collect()
     }
 
-    pub(crate) fn is_queued(&self, index: u32) -> bool {
-        !self.done[index as usize] && !self.placed.contains_key(&index)
-    }
+    // ---- leases
 
-    /// How many tasks wait for a machine.
-    pub(crate) fn queued(&self) -> u32 {
-        if self.withdrawn.is_some() {
-            return 0;
-        }
-        (self.rec.count - self.done_count).saturating_sub(self.placed.len() as u32)
+    /// A worker reports that belongs to no block here. The leader sees to it that
+    /// it comes to belong to one.
+    pub(crate) fn note_stray(&mut self, id: &MachineId, report: &Report) {
+        let entry = (
+            id.clone(),
+            report.class.clone(),
+            report.zone.clone(),
+            report.spot,
+        );
+        self.add_stray(entry);
     }
 
-    /// The first queued task from `queue_from` on; moves that mark along.
-    pub(crate) fn next_queued(&mut self) -> Option<u32> {
-        while self.queue_from < self.rec.count && !self.is_queued(self.queue_from) {
-            self.queue_from += 1;
+    pub(crate) fn add_stray(&mut self, entry: Entry) {
+        let recs = self.cache.blocks.values();
+        let mut lists = recs.filter_map(|b| b.rec.as_ref());
+        let known = lists.any(|b| match &b.machines {
+            None => true,
+            Some(list) => list.iter().any(|e| e.0 == entry.0),
+        });
+        if let Some(lead) = self.lead.as_mut().filter(|_| !known)
+            && !lead.gone.contains_key(&entry.0)
+        {
+            lead.strays.insert(entry.0.clone(), entry);
         }
-        (self.queue_from < self.rec.count).then_some(self.queue_from)
     }
-}
 
-impl Core {
-    /// A new holder's start: all that earlier ones committed is known, and nothing
-    /// of it is believed to have ended without proof.
-    pub(crate) fn rebuild(&mut self) {
-        let ids: Vec<JobId> = self.cache.jobs.keys().cloned().collect();
-        for id in ids {
-            self.holder_job(&id);
-        }
-        let jobs = &self.cache.jobs;
-        let orphans = self
-            .cache
-            .runs
-            .keys()
-            .filter(|(id, _)| !jobs.contains_key(id));
-        let orphans = orphans.cloned().collect();
-        if let Some(h) = &mut self.holder {
-            h.orphans = orphans;
-            info!("took over {} jobs", h.jobs.len());
-        }
-        self.rebuild_scale();
+    pub(crate) fn tally_chores(&mut self) {
+        self.each_block(Self::say_tally);
     }
 
-    /// A job was accepted, or its record changed.
-    pub(crate) fn holder_job(&mut self, id: &JobId) {
-        let Some(job) = self.cache.jobs.get(id) else {
-            return;
-        };
-        let now = self.now;
-        let Some(h) = &mut self.holder else {
+    /// Commits what has to change about the leases, all at once.
+    pub(crate) fn lease_chores(&mut self) {
+        let Some(lead) = &self.lead else {
             return;
         };
-        if let Some(live) = h.jobs.get_mut(id) {
-            live.mark = job.mark;
-            if job.withdrawn.is_some() && live.withdrawn.is_none() {
-                live.withdrawn = job.withdrawn;
-                self.halt_withdrawn(id);
-            }
+        if lead.busy || !self.grant_alive() || self.blind() {
             return;
         }
-        let mut live = Live::new(job, now);
-        let mut doubts = Vec::new();
-        for (chunk, (mark, run)) in self.cache.chunks(id) {
-            let entry = live.chunks.entry(chunk).or_default();
-            entry.mark = *mark;
-            for (from, to) in &run.done {
-                for index in *from..(*to).min(live.rec.count) {
-                    if !std::mem::replace(&mut live.done[index as usize], true) {
-                        live.done_count += 1;
-                    }
-                }
-            }
-            doubts.extend(run.placed.iter().cloned());
-        }
-        let withdrawn = live.withdrawn.is_some();
-        h.jobs.insert(id.clone(), live);
-        for (index, attempt, machine, zone) in doubts {
-            if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
-                // Known by name only until it reports. If it never does, it is
-                // deleted, which proves its tasks gone.
-                let mut known = Machine::new(None, "", &zone, false, now);
-                known.up = Some(now);
-                h.machines.insert(machine.clone(), known);
-            }
-            let placement = Placement {
-                machine,
-                zone: zone.as_str().into(),
-                attempt,
-                phase: Phase::Doubt,
-                since: now,
-                halted: None,
-                sends: 0,
-            };
-            h.put(id, index, placement);
-        }
-        let live = &h.jobs[id];
-        if withdrawn {
-            if live.placed.is_empty() {
-                h.to_finish.insert(id.clone());
-            }
-        } else if live.done_count == live.rec.count {
-            h.to_finish.insert(id.clone());
-        } else if live.queued() > 0 {
-            h.waiting.insert(id.clone());
-            h.place_wanted = true;
-        }
-    }
-
-    /// A job's record is gone: it ended, and its end is committed.
-    pub(crate) fn holder_job_gone(&mut self, id: &JobId) {
-        let leftover: Vec<_> = self
+        let before: BTreeMap<u32, (u64, BlockRec)> = self
             .cache
-            .chunks(id)
-            .map(|(c, _)| (id.clone(), c))
+            .blocks
+            .iter()
+            .filter_map(|(k, b)| Some((*k, (b.mark, b.rec.clone()?))))
             .collect();
-        let now = self.now;
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        h.orphans.extend(leftover);
-        let Some(live) = h.jobs.get(id) else {
-            return;
-        };
-        let tasks: Vec<u32> = live.placed.keys().copied().collect();
-        for index in tasks {
-            let job = id.clone();
-            h.take(now, &TaskId { job, index });
-        }
-        h.jobs.remove(id);
-        h.waiting.remove(id);
-        h.to_finish.remove(id);
-        h.to_flush.retain(|(_, job, _)| job != id);
-    }
-
-    /// Stops every task of a withdrawn job: nothing they do is of use any more.
-    fn halt_withdrawn(&mut self, id: &JobId) {
-        let now = self.now;
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        h.waiting.remove(id);
-        let Some(live) = h.jobs.get_mut(id) else {
-            return;
-        };
-        let mut unsent = Vec::new();
-        let mut machines = BTreeSet::new();
-        for (index, p) in &mut live.placed {
-            p.halted.get_or_insert(now);
-            match p.phase {
-                Phase::Ready => unsent.push(*index),
-                _ => {
-                    machines.insert(p.machine.clone());
-                }
+        let mut after: BTreeMap<u32, BlockRec> =
+            before.iter().map(|(k, (_, b))| (*k, b.clone())).collect();
+        let mut highest = self.cache.highest();
+        self.replace_holders(&mut after, &mut highest);
+        self.split(&mut after, &mut highest);
+        self.assign_machines(&mut after);
+        self.share_limits(&mut after);
+        self.commit_leases(&before, after, highest);
+    }
+
+    fn commit_leases(
+        &mut self,
+        before: &BTreeMap<u32, (u64, BlockRec)>,
+        after: BTreeMap<u32, BlockRec>,
+        highest: Number,
+    ) {
+        let mut when = vec![(Key::Leader, self.cache.leader.version())];
+        let mut writes = Vec::new();
+        let most = self.settings.platform.facts.state.txn_ops - 1;
+        for (block, rec) in after {
+            let old = before.get(&block);
+            if old.is_some_and(|(_, b)| *b == rec) || writes.len() >= most {
+                continue;
             }
+            when.push((Key::Block(block), old.map_or(0, |(mark, _)| *mark)));
+            writes.push(Write::put(Key::Block(block), Record::Block(rec)));
         }
-        if live.placed.is_empty() {
-            h.to_finish.insert(id.clone());
+        if writes.is_empty() {
+            return;
         }
-        for index in unsent {
-            let job = id.clone();
-            h.take(now, &TaskId { job, index });
+        if highest > self.cache.highest() {
+            when.push((Key::Number, self.cache.number.version()));
+            let rec = NumberRec { highest };
+            writes.push(Write::put(Key::Number, Record::Number(rec)));
         }
-        for machine in machines {
-            self.answer_held(&machine);
+        let op = StateOp::Commit { when, writes };
+        if self.state_call(op, Purpose::Lease, Priority::First).is_ok() {
+            if let Some(lead) = &mut self.lead {
+                lead.busy = true;
+            }
         }
     }
 
-    // ---- writing
-
-    /// Commits chunks, several to a transaction, the most urgent first.
-    pub(crate) fn pump_flush(&mut self) {
-        self.pump_finish();
-        loop {
-            let now = self.now;
-            let ops = self.settings.platform.facts.state.txn_ops;
-            let Some(h) = &mut self.holder else {
-                return;
-            };
-            if h.flushing >= FLUSHES || h.to_flush.is_empty() {
-                return;
-            }
-            if !self.requests.has(now, 1.0, Priority::Usual)
-                || !self.changes.has(now, 1.0, Priority::Usual)
-            {
-                return;
-            }
-            let Some((op, items)) = next_flush(h, ops) else {
-                return;
-            };
-            match self.state_call(op, Purpose::Flush(items), Priority::Usual) {
-                Ok(_) => {
-                    if let Some(h) = &mut self.holder {
-                        h.flushing += 1;
-                    }
-                }
-                Err(Purpose::Flush(items)) => {
-                    if let Some(h) = &mut self.holder {
-                        items.iter().for_each(|i| h.flush_again(i));
-                    }
-                    return;
-                }
-                Err(_) => return,
-            }
+    /// Whatever came of it, the follow shows it, and the next look goes on from there.
+    pub(crate) fn on_leased(&mut self, _reply: StateReply) {
+        if let Some(lead) = &mut self.lead {
+            lead.busy = false;
         }
     }
 
-    pub(crate) fn on_flushed(&mut self, items: Vec<FlushItem>, reply: StateReply) {
-        let Some(h) = &mut self.holder else {
+    /// Blocks whose holder restarted or counts no more go to another controller,
+    /// under a higher number.
+    fn replace_holders(&self, recs: &mut BTreeMap<u32, BlockRec>, highest: &mut Number) {
+        let Some(lead) = &self.lead else {
             return;
         };
-        h.flushing = h.flushing.saturating_sub(1);
-        if !matches!(reply, StateReply::Committed { .. }) {
-            debug!("{} chunks not written: {reply:?}", items.len());
-        }
-        let mut ready = BTreeSet::new();
-        let mut reread = Vec::new();
-        for item in &items {
-            let now = self.now;
-            let Some(live) = h.jobs.get_mut(&item.job) else {
+        let patience = self.settings.tuning.block_lease_s * SILENT_SHARE;
+        let mut load: BTreeMap<Member, usize> = BTreeMap::new();
+        for b in recs.values() {
+            *load.entry(b.holder.clone()).or_default() += 1;
+        }
+        for (block, rec) in recs.iter_mut() {
+            let told = lead.tallies.get(block);
+            let told = told
+                .filter(|(t, _)| t.number == rec.number)
+                .map(|(_, at)| *at);
+            let quiet = self.now.since(told.unwrap_or(lead.since)) > patience;
+            let spent = self.spent.get(block).is_some_and(|n| rec.number <= *n);
+            let mine = rec.holder == self.settings.platform.member;
+            let restarted = mine && (rec.boot != self.boot || spent) || self.rebooted(rec);
+            if !quiet && !restarted {
                 continue;
-            };
-            let chunk = live.chunks.entry(item.chunk).or_default();
-            chunk.busy = false;
-            match &reply {
-                StateReply::Committed { ledger } => {
-                    chunk.mark = *ledger;
-                    // What came in meanwhile is still to be written.
-                    let queued = |u| h.to_flush.contains(&(u, item.job.clone(), item.chunk));
-                    chunk.unwritten = (0..=FLUSH_RESULTS).any(queued);
-                    for machine in make_ready(now, live, &item.placed) {
-                        ready.insert(machine);
-                    }
-                }
-                StateReply::Conflict { failed } => {
-                    let own = failed.contains(&Key::Run(item.job.clone(), item.chunk));
-                    let job = failed.contains(&Key::Job(item.job.clone()));
-                    if own {
-                        chunk.busy = true;
-                        reread.push((item.job.clone(), item.chunk));
-                    } else if job {
-                        h.drop_uncommitted(now, item);
-                    } else {
-                        h.flush_again(item);
-                    }
-                }
-                // Not executed, or perhaps: the same conditions make it happen once.
-                _ => h.flush_again(item),
             }
-        }
-        let jobs: BTreeSet<JobId> = items.into_iter().map(|i| i.job).collect();
-        for job in &jobs {
-            h.drop_unsent(self.now, job);
-        }
-        for (job, chunk) in reread {
-            self.reread(job, chunk);
-        }
-        for machine in ready {
-            self.answer_held(&machine);
+            let (member, boot) = self.least_loaded(&load);
+            info!("block {block} goes from {} to {member}", rec.holder);
+            *load.entry(member.clone()).or_default() += 1;
+            highest.0 += 1;
+            (rec.holder, rec.boot, rec.number) = (member, boot, *highest);
         }
     }
 
-    /// Reads a chunk whose revision isn't the expected one: an earlier commit whose
-    /// answer was lost stands after all.
-    fn reread(&mut self, job: JobId, chunk: u32) {
-        let op = StateOp::Get(Key::Run(job.clone(), chunk));
-        let purpose = Purpose::Reread(job, chunk);
-        if let Err(Purpose::Reread(job, chunk)) = self.state_call(op, purpose, Priority::First) {
-            self.reread_later(&job, chunk);
-        }
+    /// Whether a block's holder is heard of, but as another process.
+    fn rebooted(&self, rec: &BlockRec) -> bool {
+        let mut heard = self.lately().filter(|h| h.from == rec.holder);
+        heard.any(|h| h.boot != rec.boot)
     }
 
-    fn reread_later(&mut self, job: &JobId, chunk: u32) {
-        // The chunk is written again, fails again, and is read then.
-        if let Some(h) = &mut self.holder {
-            if let Some(c) = h.jobs.get_mut(job).and_then(|l| l.chunks.get_mut(&chunk)) {
-                c.busy = false;
-            }
-            h.to_flush.insert((0, job.clone(), chunk));
-        }
+    /// The controller that sees the state service and holds the fewest blocks.
+    fn least_loaded(&self, load: &BTreeMap<Member, usize>) -> (Member, u64) {
+        let me = (self.settings.platform.member.clone(), self.boot);
+        let others = self.lately().filter(|h| h.sighted);
+        let others = others.map(|h| (h.from.clone(), h.boot));
+        let all = std::iter::once(me.clone()).chain(others);
+        let least = all.min_by_key(|(m, _)| load.get(m).copied().unwrap_or(0));
+        least.unwrap_or(me)
     }
 
-    pub(crate) fn on_reread(&mut self, job: JobId, chunk: u32, reply: StateReply) {
-        let (mark, run) = match reply {
-            StateReply::Found {
-                record: Record::Run(run),
-                mark,
-            } => (mark, run),
-            StateReply::Missing { .. } => (0, RunRec::default()),
-            _ => return self.reread_later(&job, chunk),
-        };
-        let now = self.now;
-        let mut ready = Vec::new();
-        if let Some(h) = &mut self.holder {
-            if let Some(live) = h.jobs.get_mut(&job) {
-                let entry = live.chunks.entry(chunk).or_default();
-                entry.mark = mark;
-                entry.busy = false;
-                let placed: Vec<_> = run.placed.iter().map(|p| (p.0, p.1)).collect();
-                ready = make_ready(now, live, &placed);
-            }
-            h.drop_unsent(now, &job);
-            h.to_flush.insert((0, job, chunk));
+    /// One more block, once each of them has enough machines.
+    fn split(&self, recs: &mut BTreeMap<u32, BlockRec>, highest: &mut Number) {
+        let machines: u32 = self
+            .believed()
+            .iter()
+            .flat_map(|t| &t.zones)
+            .map(|(_, _, _, n)| n)
+            .sum();
+        let controllers = 1 + self.lately().filter(|h| h.sighted).count();
+        let by_size = (f64::from(machines) / self.settings.tuning.block_min) as usize;
+        if recs.is_empty() || recs.len() >= by_size.min(controllers) {
+            return;
         }
-        for machine in ready {
-            self.answer_held(&machine);
+        if let Some(first) = recs.get_mut(&0).filter(|b| b.machines.is_none()) {
+            // The only block gets a list before there is a second one.
+            let Some(h) = self.parked.get(&0).filter(|h| h.number == first.number) else {
+                return;
+            };
+            first.machines = Some(h.entries());
+            first.allowances = Some(self.whole_limits());
         }
+        let load: BTreeMap<Member, usize> = recs.values().fold(BTreeMap::new(), |mut l, b| {
+            *l.entry(b.holder.clone()).or_default() += 1;
+            l
+        });
+        let (holder, boot) = self.least_loaded(&load);
+        let block = recs.keys().max().map_or(0, |k| k + 1);
+        info!("block {block} is made for {holder}");
+        highest.0 += 1;
+        let rec = BlockRec {
+            holder,
+            boot,
+            number: *highest,
+            machines: Some(Vec::new()),
+            allowances: Some(BTreeMap::new()),
+        };
+        recs.insert(block, rec);
     }
 
-    /// Writes the ends of jobs. The end comes first, and with it the job's record
-    /// goes; chunks that don't fit into the transaction go later.
-    fn pump_finish(&mut self) {
-        let ops = self.settings.platform.facts.state.txn_ops;
-        let Some(h) = &self.holder else {
+    /// Every team's whole limit.
+    fn whole_limits(&self) -> BTreeMap<String, (f64, f64)> {
+        let teams = self.settings.platform.facts.teams.iter();
+        let limited = teams.filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        limited
+            .map(|t| (t.name.clone(), (t.cpus_max, t.gpus_max)))
+            .collect()
+    }
+
+    /// New machines go to the block that lacks them most; deleted ones leave the lists. A machine
+    /// never changes its block: only the holder knows what is on it.
+    fn assign_machines(&mut self, recs: &mut BTreeMap<u32, BlockRec>) {
+        let kb = self.settings.platform.facts.state.value_kb;
+        let most = (kb * 1024.0 * LIST_SHARE / ENTRY_BYTES) as usize;
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        let ids: Vec<JobId> = h.to_finish.iter().cloned().collect();
-        for id in ids {
-            let Some(h) = &mut self.holder else {
+        for list in recs.values_mut().filter_map(|b| b.machines.as_mut()) {
+            list.retain(|e| !lead.gone.contains_key(&e.0));
+        }
+        lead.strays.retain(|id, _| !lead.gone.contains_key(id));
+        let lists = recs.values().filter_map(|b| b.machines.as_ref());
+        let listed: BTreeSet<MachineId> = lists.flatten().map(|e| e.0.clone()).collect();
+        lead.strays.retain(|id, _| !listed.contains(id));
+        for entry in lead.strays.values() {
+            let lists = recs.iter_mut();
+            let lists = lists.filter_map(|(k, b)| Some((*k, b.machines.as_mut()?)));
+            let open = lists.filter(|(_, list)| list.len() < most);
+            let key = |block: u32| (entry.1.clone(), entry.3, block);
+            let lack = |block: u32| lead.needs.get(&key(block)).copied().unwrap_or(0);
+            let best = open.max_by_key(|(k, list)| (lack(*k), std::cmp::Reverse(list.len())));
+            let Some((block, list)) = best else {
                 return;
             };
-            let Some(live) = h.jobs.get_mut(&id) else {
-                h.to_finish.remove(&id);
-                continue;
-            };
-            let busy = live.finishing || live.chunks.values().any(|c| c.busy);
-            if busy || (live.withdrawn.is_some() && !live.placed.is_empty()) {
-                continue;
-            }
-            let (job, end) = (Key::Job(id.clone()), Key::End(id.clone()));
-            let mut when = vec![(job.clone(), live.mark)];
-            let mut writes = Vec::new();
-            if live.withdrawn.is_none() {
-                when.push((end.clone(), 0));
-                writes.push(Write::put(end, Record::End(Ending::Done)));
-            }
-            writes.push(Write::Delete { key: job });
-            let written = live.chunks.iter().filter(|(_, c)| c.mark > 0);
-            let room = ops - writes.len();
-            writes.extend(written.take(room).map(|(chunk, _)| Write::Delete {
-                key: Key::Run(id.clone(), *chunk),
-            }));
-            live.finishing = true;
-            let op = StateOp::Commit { when, writes };
-            if self
-                .state_call(op, Purpose::Finish(id.clone()), Priority::Usual)
-                .is_err()
-            {
-                if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) {
-                    live.finishing = false;
-                }
-                return;
+            list.push(entry.clone());
+            if let Some(n) = lead.needs.get_mut(&key(block)) {
+                *n = n.saturating_sub(1);
             }
         }
-        self.pump_cleanup(ops);
     }
 
-    fn pump_cleanup(&mut self, ops: usize) {
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        if h.cleaning || h.orphans.is_empty() {
+    /// Moves what teams may use to where they want it. What one block loses another
+    /// gets only once the first one's use, counted under its new record, is below.
+    fn share_limits(&self, recs: &mut BTreeMap<u32, BlockRec>) {
+        if recs.len() < 2 {
             return;
         }
-        let n = h.orphans.len().min(ops);
-        let list: Vec<_> = h.orphans.drain(..n).collect();
-        let writes = list.iter().map(|(job, chunk)| Write::Delete {
-            key: Key::Run(job.clone(), *chunk),
-        });
-        let op = StateOp::Commit {
-            when: vec![(Key::Block(0), h.block_mark)],
-            writes: writes.collect(),
-        };
-        h.cleaning = true;
-        if let Err(Purpose::Cleanup(list)) =
-            self.state_call(op, Purpose::Cleanup(list), Priority::Last)
-        {
-            self.on_cleaned(list, StateReply::Refused);
+        let marks = self.cache.blocks.iter();
+        let marks: BTreeMap<u32, u64> = marks.map(|(k, b)| (*k, b.mark)).collect();
+        let all = self.believed();
+        let current = |t: &&&Tally| marks.get(&t.block) == Some(&t.mark);
+        let told: BTreeMap<u32, &Tally> =
+            all.iter().filter(current).map(|t| (t.block, *t)).collect();
+        if recs.keys().any(|k| !told.contains_key(k)) {
+            return;
         }
-    }
-
-    pub(crate) fn on_cleaned(&mut self, list: Vec<(JobId, u32)>, reply: StateReply) {
-        if let Some(h) = &mut self.holder {
-            h.cleaning = false;
-            if !matches!(reply, StateReply::Committed { .. }) {
-                h.orphans.extend(list);
-            }
+        let lease_s = self.settings.tuning.block_lease_s;
+        let turns = (self.now.since(Time(0)) / lease_s) as usize % recs.len();
+        let turn = recs.keys().nth(turns).copied().unwrap_or(0);
+        for (team, limit) in self.whole_limits() {
+            let count = |t: &Tally| {
+                let found = t.teams.iter().find(|(name, _)| *name == team);
+                found.map(|(_, c)| *c).unwrap_or_default()
+            };
+            let counts: BTreeMap<u32, TeamCount> =
+                told.iter().map(|(k, t)| (*k, count(t))).collect();
+            share_limit(recs, &team, limit, &counts, turn);
         }
     }
 
-    pub(crate) fn on_finished(&mut self, id: JobId, reply: StateReply) {
-        let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) else {
-            return;
-        };
-        live.finishing = false;
-        // The follow brings the end; a conflict means that a withdrawal came first,
-        // and anything else is tried again.
-        if let StateReply::Committed { .. } = reply {
-            live.finishing = true;
-            let all = live.withdrawn.is_none();
-            info!("job {id} {}", if all { "done" } else { "cleared away" });
-        } else if let StateReply::Conflict { failed } = reply {
-            warn!("job {id} didn't end: {} changed", failed.len());
-        }
+    /// The shares of new jobs, by machines.
+    pub(crate) fn job_shares(&self) -> Vec<(u32, u32)> {
+        let recs = self.cache.blocks.iter();
+        let shares = recs.filter_map(|(k, b)| {
+            let machines = b.rec.as_ref()?.machines.as_ref()?;
+            Some((*k, machines.len() as u32 + 1))
+        });
+        shares.collect()
     }
 }
 
-/// Marks committed placements; returns their machines.
-fn make_ready(now: Time, live: &mut Live, placed: &[(u32, Attempt)]) -> Vec<MachineId> {
-    let mut machines = Vec::new();
-    for (index, attempt) in placed {
-        if let Some(p) = live.placed.get_mut(index) {
-            if p.attempt == *attempt && p.phase == Phase::Committing {
-                p.phase = Phase::Ready;
-                p.since = now;
-                machines.push(p.machine.clone());
+/// Shares one team's limit among the blocks. `turn` is the block whose turn it is.
+fn share_limit(
+    recs: &mut BTreeMap<u32, BlockRec>,
+    team: &str,
+    limit: (f64, f64),
+    counts: &BTreeMap<u32, TeamCount>,
+    turn: u32,
+) {
+    let has = |k: &u32| {
+        let given = recs[k].allowances.as_ref().and_then(|a| a.get(team));
+        given.copied().unwrap_or_default()
+    };
+    let pick = |f: fn(&TeamCount) -> f64| counts.iter().map(|(k, c)| (*k, f(c))).collect();
+    let old_cpus = counts.keys().map(|k| (*k, has(k).0)).collect();
+    let old_gpus = counts.keys().map(|k| (*k, has(k).1)).collect();
+    let cpus = shares(
+        limit.0,
+        turn,
+        &old_cpus,
+        &pick(|c| c.cpus),
+        &pick(|c| c.cpus_wanted),
+    );
+    let gpus = shares(
+        limit.1,
+        turn,
+        &old_gpus,
+        &pick(|c| c.gpus),
+        &pick(|c| c.gpus_wanted),
+    );
+    for k in counts.keys() {
+        if let Some(all) = recs.get_mut(k).and_then(|b| b.allowances.as_mut()) {
+            let (cpus, gpus) = (cpus[k], gpus[k]);
+            if cpus > 0.0 || gpus > 0.0 || all.contains_key(team) {
+                all.insert(team.to_string(), (cpus, gpus));
             }
         }
     }
-    machines
 }
 
-impl Holder {
-    fn flush_again(&mut self, item: &FlushItem) {
-        if let Some(live) = self.jobs.get_mut(&item.job) {
-            live.chunks.entry(item.chunk).or_default().busy = false;
-            self.to_flush.insert((0, item.job.clone(), item.chunk));
-        }
-    }
-
-    /// Placements told to stop before their start was sent: they can't be there.
-    fn drop_unsent(&mut self, now: Time, job: &JobId) {
-        let Some(live) = self.jobs.get(job) else {
-            return;
-        };
-        let unsent = live
-            .placed
-            .iter()
-            .filter(|(_, p)| p.halted.is_some() && p.phase == Phase::Ready);
-        let unsent: Vec<u32> = unsent.map(|(index, _)| *index).collect();
-        for index in unsent {
-            let job = job.clone();
-            self.take(now, &TaskId { job, index });
+type PerBlock = BTreeMap<u32, f64>;
+
+/// What each block may use from now on. Nothing changes while every block has what it
+/// wants. Otherwise the block whose turn it is gets all it wants, so that even a task
+/// as large as the limit starts one day, and the others share the rest evenly. Room is
+/// given only once nobody uses it.
+fn shares(limit: f64, turn: u32, old: &PerBlock, used: &PerBlock, wanted: &PerBlock) -> PerBlock {
+    let mut new = old.clone();
+    if limit <= 0.0 || wanted.iter().all(|(k, w)| *w <= old[k] + 1e-6) {
+        return new;
+    }
+    let mut left = limit;
+    let mut targets = PerBlock::new();
+    if let Some(w) = wanted.get(&turn) {
+        targets.insert(turn, w.min(left));
+        left -= w.min(left);
+    }
+    let mut others: Vec<(u32, f64)> = wanted
+        .iter()
+        .filter(|(k, _)| **k != turn)
+        .map(|(k, w)| (*k, *w))
+        .collect();
+    others.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let count = others.len();
+    for (at, (k, w)) in others.into_iter().enumerate() {
+        let part = w.min(left / (count - at) as f64);
+        targets.insert(k, part);
+        left -= part;
+    }
+    // Before anyone gets more, what others may use or use still is counted.
+    let mut free = limit - old.iter().map(|(k, a)| a.max(used[k])).sum::<f64>();
+    for (k, have) in &mut new {
+        let target = targets.get(k).copied().unwrap_or(0.0);
+        if *have < target {
+            let more = (target - *have).min(free.max(0.0));
+            *have += more;
+            free -= more;
+        } else {
+            *have = target;
         }
     }
+    new
+}
 
-    /// The job changed under a commit, so its placements were never made.
-    fn drop_uncommitted(&mut self, now: Time, item: &FlushItem) {
-        for (index, attempt) in &item.placed {
-            let same = |p: &Placement| p.attempt == *attempt && p.phase == Phase::Committing;
-            let live = self.jobs.get(&item.job);
-            if live.and_then(|l| l.placed.get(index)).is_some_and(same) {
-                let task = TaskId {
-                    job: item.job.clone(),
-                    index: *index,
-                };
-                self.take(now, &task);
-            }
-        }
-    }
+/// A number from a name, the same everywhere (FNV-1a).
+fn spread(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
 }
 
-/// Builds the next transaction of chunks.
-fn next_flush(h: &mut Holder, ops: usize) -> Option<(StateOp, Vec<FlushItem>)> {
-    let mut when = vec![(Key::Block(0), h.block_mark)];
-    let (mut writes, mut items, mut bytes) = (Vec::new(), Vec::new(), 0);
-    let candidates: Vec<_> = h.to_flush.iter().take(4 * ops).cloned().collect();
-    for entry in candidates {
-        if writes.len() >= ops || bytes > FLUSH_BYTES {
-            break;
-        }
-        let (_, job, chunk) = &entry;
-        let Some(live) = h.jobs.get(job) else {
-            h.to_flush.remove(&entry);
-            continue;
-        };
-        if live.finishing || live.chunks.get(chunk).is_some_and(|c| c.busy) {
-            continue;
-        }
-        let mark = live.chunks.get(chunk).map_or(0, |c| c.mark);
-        let rec = h.run_rec(live, *chunk);
-        bytes += 60 * rec.placed.len() + 12 * rec.done.len();
-        when.push((Key::Job(job.clone()), live.mark));
-        when.push((Key::Run(job.clone(), *chunk), mark));
-        let placed = rec.placed.iter().map(|p| (p.0, p.1)).collect();
-        writes.push(Write::put(Key::Run(job.clone(), *chunk), Record::Run(rec)));
-        items.push(FlushItem {
-            job: job.clone(),
-            chunk: *chunk,
-            placed,
+impl Holder {
+    /// The block's machines as its record lists them.
+    fn entries(&self) -> Vec<Entry> {
+        let all = self.machines.iter();
+        let all = all.map(|(id, m)| {
+            let (class, zone) = (m.class_name.to_string(), m.zone.to_string());
+            (id.clone(), class, zone, m.spot)
         });
-        // One commit carries all that is to be written of the chunk.
-        for urgency in 0..=FLUSH_RESULTS {
-            h.to_flush.remove(&(urgency, job.clone(), *chunk));
+        all.collect()
+    }
+
+    fn team_counts(&self) -> Vec<(String, TeamCount)> {
+        let mut counts: BTreeMap<&str, TeamCount> = BTreeMap::new();
+        for (team, used) in &self.teams {
+            let c = counts.entry(team).or_default();
+            (c.cpus, c.gpus) = (used.cpus, used.gpus);
+            (c.cpus_wanted, c.gpus_wanted) = (used.cpus, used.gpus);
         }
-        if let Some(live) = h.jobs.get_mut(job) {
-            live.chunks.entry(*chunk).or_default().busy = true;
+        for live in self.waiting.iter().filter_map(|id| self.jobs.get(id)) {
+            let c = counts.entry(&live.rec.team).or_default();
+            c.cpus_wanted += f64::from(live.queued()) * live.rec.need.cpus;
+            c.gpus_wanted += f64::from(live.queued()) * live.rec.need.gpus;
         }
+        let counts = counts.into_iter();
+        counts.map(|(team, c)| (team.to_string(), c)).collect()
     }
-    // A job with several chunks in the transaction is compared once.
-    when.sort();
-    when.dedup();
-    (!writes.is_empty()).then_some((StateOp::Commit { when, writes }, items))
 }
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -1,5 +1,6 @@
 //! Who leads. The leader's key hangs on a grant of a few seconds; whoever commits it
-//! next, together with the block's holder and a higher number, leads from then on.
+//! next leads from then on, and takes over the blocks of those who are gone under
+//! higher numbers in the same commit.
 
 use super::*;
 use log::{info, warn};
@@ -27,7 +28,7 @@
 
 impl Core {
     pub(crate) fn election_chores(&mut self) {
-        if self.holder.is_some() {
+        if self.lead.is_some() {
             self.extend();
         } else {
             self.stand();
@@ -38,7 +39,7 @@
     /// that an outdated leader would fail, so they need this.
     pub(crate) fn grant_alive(&self) -> bool {
         let ttl = self.settings.tuning.grant_s;
-        self.holder.is_some() && self.now.since(self.election.renewed) < ttl
+        self.lead.is_some() && self.now.since(self.election.renewed) < ttl
     }
 
     fn extend(&mut self) {
@@ -63,7 +64,7 @@
         self.election.busy = false;
         match reply {
             StateReply::Extended => self.election.renewed = sent,
-            StateReply::NoGrant => self.step_down("its grant is over"),
+            StateReply::NoGrant => self.stop_leading("its grant is over"),
             _ => {}
         }
     }
@@ -101,34 +102,36 @@
         };
         self.election.hold = Some(hold);
         self.election.renewed = sent;
+        // The leadership's own number comes first: rentals are named after it.
         let number = Number(self.cache.highest().0 + 1);
-        let member = self.settings.platform.member.clone();
-        let boot = self.boot;
-        let block = self.cache.blocks.get(&0).map_or(0, |b| b.version());
-        let when = vec![
+        let mut highest = number;
+        let mut when = vec![
             (Key::Leader, self.cache.leader.version()),
             (Key::Number, self.cache.number.version()),
-            (Key::Block(0), block),
         ];
+        let mut writes = Vec::new();
+        // Two changes are kept for the leader's and the number's records.
+        let most = self.settings.platform.facts.state.txn_ops - 2;
+        for block in self.blocks_to_take().into_iter().take(most) {
+            highest.0 += 1;
+            let (version, rec) = self.lease_to_me(block, highest);
+            when.push((Key::Block(block), version));
+            writes.push(Write::put(Key::Block(block), Record::Block(rec)));
+        }
         let leader = LeaderRec {
-            member: member.clone(),
-            boot,
-            number,
-        };
-        let held = BlockRec {
-            holder: member,
-            boot,
+            member: self.settings.platform.member.clone(),
+            boot: self.boot,
             number,
         };
-        let writes = vec![
-            Write::Put {
-                key: Key::Leader,
-                record: Record::Leader(leader),
-                hold: Some(hold),
-            },
-            Write::put(Key::Number, Record::Number(NumberRec { highest: number })),
-            Write::put(Key::Block(0), Record::Block(held)),
-        ];
+        writes.push(Write::Put {
+            key: Key::Leader,
+            record: Record::Leader(leader),
+            hold: Some(hold),
+        });
+        writes.push(Write::put(
+            Key::Number,
+            Record::Number(NumberRec { highest }),
+        ));
         let op = StateOp::Commit { when, writes };
         if self.state_call(op, Purpose::Elect, Priority::First).is_ok() {
             self.election.busy = true;
@@ -142,53 +145,106 @@
         self.election.vacant = None;
     }
 
-    /// The leader's, block's or number's record changed.
+    /// The leader's, a block's, the number's or the plan's record changed.
     pub(crate) fn on_control(&mut self) {
         let me = &self.settings.platform.member;
-        let block = self.cache.blocks.get(&0).cloned().unwrap_or_default();
-        let leads = self
+        let rested = self.now >= self.election.rest_until;
+        let leader = self.cache.leader.rec.as_ref();
+        let leads = leader.is_some_and(|l| l.member == *me && l.boot == self.boot);
+        if leads && self.lead.is_none() && rested {
+            info!("leads from now on");
+            self.election.extend_at = self.now;
+            self.start_leading();
+        } else if !leads && self.lead.is_some() {
+            self.stop_leading("its key is gone");
+        }
+        let blocks: Vec<(u32, jobs::Slot<BlockRec>)> = self
             .cache
-            .leader
-            .rec
-            .as_ref()
-            .is_some_and(|l| l.member == *me && l.boot == self.boot);
-        let held = block
-            .rec
-            .as_ref()
-            .filter(|b| b.holder == *me && b.boot == self.boot);
-        match (&self.holder, held) {
-            (Some(h), Some(b)) if h.block_mark == block.mark && h.number == b.number && leads => {}
-            (Some(_), _) => self.step_down("its key or its block has changed hands"),
-            (None, Some(b)) if leads && self.now >= self.election.rest_until => {
-                let number = b.number;
-                info!("leads and holds the block under number {}", number.0);
-                self.election.extend_at = self.now;
-                self.holder = Some(Holder::new(number, block.mark, self.now));
-                self.share_budgets();
-                self.rebuild();
+            .blocks
+            .iter()
+            .map(|(k, slot)| (*k, slot.clone()))
+            .collect();
+        for (block, slot) in blocks {
+            let Some(rec) = slot.rec else {
+                continue;
+            };
+            // A number once given up is never used again: what was answered under it
+            // is forgotten, and copies of reports from then may still come.
+            let spent = self.spent.get(&block).is_some_and(|n| rec.number <= *n);
+            let me = &self.settings.platform.member;
+            let mine = rec.holder == *me && rec.boot == self.boot && !spent;
+            self.sync_block(block, slot.mark, &rec, mine && rested);
+        }
+        self.obey_plan();
+    }
+
+    /// Brings what is held here in line with a block's record.
+    fn sync_block(&mut self, block: u32, mark: u64, rec: &BlockRec, mine: bool) {
+        let held = self.parked.get(&block).map(|h| (h.number, h.block_mark));
+        match held {
+            Some((number, _)) if !mine || number != rec.number => {
+                self.in_block(block, |core| core.drop_block("it has another holder"));
             }
+            Some((_, known)) if known == mark => return,
             _ => {}
         }
+        if !mine {
+            return;
+        }
+        let fresh = !self.parked.contains_key(&block);
+        if fresh {
+            info!("holds block {block} under number {}", rec.number.0);
+            let holder = Holder::new(block, rec.number, self.now);
+            self.parked.insert(block, holder);
+        }
+        self.share_budgets();
+        self.in_block(block, |core| {
+            if fresh {
+                core.rebuild();
+            }
+            if let Some(h) = &mut core.holder {
+                h.sync(core.now, mark, rec, &core.catalog);
+            }
+        });
     }
 
-    /// Stops acting as holder. Always safe: another process takes over by a commit.
-    pub(crate) fn step_down(&mut self, why: &str) {
+    /// Stops acting as the holder of the block in hand. Always safe: another process
+    /// takes over by a commit.
+    pub(crate) fn drop_block(&mut self, why: &str) {
         let Some(holder) = self.holder.take() else {
             return;
         };
-        warn!("no longer holds the block ({}): {why}", holder.number.0);
+        warn!("no longer holds block {}: {why}", holder.block);
+        self.spent.insert(holder.block, holder.number);
+        self.share_budgets();
+        for (req, machine) in holder.held_requests() {
+            self.steer(req, &machine);
+        }
+    }
+
+    fn stop_leading(&mut self, why: &str) {
+        if self.lead.take().is_some() {
+            warn!("no longer leads: {why}");
+        }
         self.election.hold = None;
         self.election.busy = false;
         self.share_budgets();
-        for req in holder.held_requests() {
-            self.steer(req);
+    }
+
+    /// Gives up everything this controller holds.
+    pub(crate) fn give_up(&mut self, why: &str) {
+        self.stop_leading(why);
+        let blocks: Vec<u32> = self.parked.keys().copied().collect();
+        for block in blocks {
+            self.in_block(block, |core| core.drop_block(why));
         }
     }
 
-    /// Gives leadership up, when this controller can't do the work.
+    /// Gives up everything and rests, when this controller can't do the work.
     pub(crate) fn resign(&mut self, why: &str) {
         let ttl = self.settings.tuning.grant_s;
         self.election.rest_until = self.now.after(ttl * REST);
-        self.step_down(why);
+        self.drop_block(why);
+        self.give_up(why);
     }
 }
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -76,7 +76,7 @@
     }
 
     pub(crate) fn on_hangup(&mut self, req: ReqId) {
-        if let Some(h) = &mut self.holder {
+        for h in self.parked.values_mut() {
             h.forget_request(req);
         }
     }
@@ -109,6 +109,7 @@
             return self.on_question(req, id, Wish::Refuse(why));
         }
         rec.chunk = self.chunk_size();
+        rec.block = self.block_for(&id);
         let wps = self.settings.platform.facts.state.write_rps;
         let room = (wps * SUBMIT_BACKLOG_S) as usize;
         if self.front.submissions.len() >= room.clamp(8, WAITING_MAX) {
--- /dev/null
+++ b/src/core/holder.rs
@@ -0,0 +1,878 @@
+//! The holder of a block: its jobs, machines and placements, and how they are
+//! written. A placement is committed, on the condition that the block and the job
+//! are unchanged, before its start is sent to anyone.
+
+use super::health::Health;
+use super::*;
+use log::{debug, info, warn};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// How far a placement has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not yet known to be committed: never sent.
+    Committing,
+    /// Committed; its start goes with the next answer to its machine.
+    Ready,
+    /// Sent, and not seen in a report yet.
+    Sent,
+    Fetching,
+    Running,
+    Flushing,
+    /// Placed by an earlier holder; this one has no proof of what became of it.
+    Doubt,
+}
+
+#[derive(Clone, Debug)]
+pub struct Placement {
+    pub machine: MachineId,
+    pub zone: Rc<str>,
+    pub attempt: Attempt,
+    pub phase: Phase,
+    /// Since when it is in this phase.
+    pub since: Time,
+    /// When it was first told to stop, if it was.
+    pub halted: Option<Time>,
+    pub sends: u32,
+}
+
+/// A job of the block.
+#[derive(Debug)]
+pub struct Live {
+    pub rec: Rc<JobRec>,
+    pub mark: u64,
+    /// Order of arrival: the revision of its acceptance.
+    pub arrival: u64,
+    pub since: Time,
+    pub withdrawn: Option<Time>,
+    pub done: Vec<bool>,
+    pub done_count: u32,
+    pub placed: BTreeMap<u32, Placement>,
+    /// No queued task has an index below this one.
+    pub queue_from: u32,
+    pub chunks: BTreeMap<u32, Chunk>,
+    pub finishing: bool,
+    pub not_before: Time,
+    pub fails: u32,
+    /// Machines on which its tasks failed lately.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Room is being made by stopping others until then.
+    pub preempting: Time,
+}
+
+/// What is written of a chunk.
+#[derive(Debug, Default)]
+pub struct Chunk {
+    pub mark: u64,
+    pub busy: bool,
+    /// Finished tasks that aren't written yet; their results aren't cleared.
+    pub unwritten: bool,
+}
+
+/// One chunk in a commit, with the placements that it makes good.
+#[derive(Debug)]
+pub struct FlushItem {
+    pub job: JobId,
+    pub chunk: u32,
+    pub placed: Vec<(u32, Attempt)>,
+}
+
+/// A machine of the block.
+#[derive(Debug)]
+pub struct Machine {
+    pub class: usize,
+    pub class_name: Rc<str>,
+    pub zone: Rc<str>,
+    pub spot: bool,
+    /// When it was rented or first heard of.
+    pub since: Time,
+    /// When its first report came; `None` while it boots.
+    pub up: Option<Time>,
+    pub session: u64,
+    pub seq: u64,
+    /// A report showed that it has this block's number.
+    pub shown: bool,
+    pub seen: Time,
+    /// When this process last answered one of its reports with 200.
+    pub answered: Time,
+    pub notice: Option<Time>,
+    pub tasks: BTreeSet<TaskId>,
+    pub used: Room,
+    /// To be deleted, at this moment even if tasks are left on it. Nothing is placed
+    /// on it any more.
+    pub doomed: Option<Time>,
+    pub deleting: bool,
+    /// The request that waits for a command, and until when.
+    pub held: Option<(ReqId, Time)>,
+    /// Images it should have, latest use last.
+    pub images: Vec<(Image, f64)>,
+    pub health: Health,
+    /// Since when it has had no task.
+    pub empty: Option<Time>,
+    /// A start was refused for want of room.
+    pub full_until: Time,
+}
+
+impl Machine {
+    pub fn has_image(&self, image: &Image) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    /// Notes that an image is used now; the cache drops the one unused for longest.
+    pub fn use_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+}
+
+pub struct Holder {
+    pub block: u32,
+    pub number: Number,
+    pub block_mark: u64,
+    pub since: Time,
+    /// Whether it is the only block, with every machine there is in it.
+    pub whole: bool,
+    /// What teams with a limit may use here; `None` for their whole limit.
+    pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
+    pub(crate) count: u64,
+    pub jobs: BTreeMap<JobId, Live>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub(crate) teams: HashMap<String, Room>,
+    /// Jobs with queued tasks.
+    pub(crate) waiting: BTreeSet<JobId>,
+    pub(crate) place_wanted: bool,
+    pub(crate) place_at: Time,
+    /// Chunks to write, by urgency.
+    pub(crate) to_flush: BTreeSet<(u8, JobId, u32)>,
+    pub(crate) flushing: usize,
+    /// Jobs whose last record is to be written: all done, or withdrawn and gone.
+    pub(crate) to_finish: BTreeSet<JobId>,
+    pub(crate) orphans: Vec<(JobId, u32)>,
+    pub(crate) cleaning: bool,
+    /// When held answers must go out.
+    pub(crate) releases: BTreeSet<(Time, MachineId)>,
+    pub(crate) gone: BTreeMap<MachineId, Time>,
+    pub(crate) heard: Time,
+}
+
+/// Chunks with placements have the urgency of their rank, 0 to 3; this one is that of
+/// chunks with results only.
+const FLUSH_RESULTS: u8 = 4;
+/// Commits under way at once.
+const FLUSHES: usize = 4;
+/// JSON bytes of chunks in one transaction, below the limit of 64 KiB.
+const FLUSH_BYTES: usize = 40 * 1024;
+
+impl Holder {
+    pub fn new(block: u32, number: Number, now: Time) -> Self {
+        Self {
+            block,
+            number,
+            block_mark: 0,
+            since: now,
+            whole: true,
+            allowances: None,
+            count: 0,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            teams: HashMap::new(),
+            waiting: BTreeSet::new(),
+            place_wanted: true,
+            place_at: now,
+            to_flush: BTreeSet::new(),
+            flushing: 0,
+            to_finish: BTreeSet::new(),
+            orphans: Vec::new(),
+            cleaning: false,
+            releases: BTreeSet::new(),
+            gone: BTreeMap::new(),
+            heard: now,
+        }
+    }
+
+    pub fn first_release(&self) -> Option<Time> {
+        self.releases.first().map(|(t, _)| *t)
+    }
+
+    pub(crate) fn held_requests(&self) -> Vec<(ReqId, MachineId)> {
+        let all = self.machines.iter();
+        let held = all.filter_map(|(id, m)| Some((m.held?.0, id.clone())));
+        held.collect()
+    }
+
+    /// Takes over what the block's record says besides who holds it.
+    pub(crate) fn sync(&mut self, now: Time, mark: u64, rec: &BlockRec, catalog: &[ClassInfo]) {
+        self.block_mark = mark;
+        self.whole = rec.machines.is_none();
+        self.allowances = rec.allowances.clone();
+        self.place_wanted = true;
+        let Some(list) = &rec.machines else {
+            return;
+        };
+        for (id, class_name, zone, spot) in list {
+            if !self.machines.contains_key(id) && !self.gone.contains_key(id) {
+                let class = catalog.iter().position(|c| c.name == *class_name);
+                let machine = Machine::new(class, class_name, zone, *spot, now);
+                self.add_machine(id.clone(), machine);
+            }
+        }
+    }
+
+    pub(crate) fn forget_request(&mut self, req: ReqId) {
+        let held = self
+            .releases
+            .iter()
+            .find(|(_, id)| {
+                let m = self.machines.get(id);
+                m.and_then(|m| m.held).is_some_and(|(r, _)| r == req)
+            })
+            .cloned();
+        if let Some(entry) = held {
+            self.releases.remove(&entry);
+            if let Some(m) = self.machines.get_mut(&entry.1) {
+                m.held = None;
+            }
+        }
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> Attempt {
+        self.count += 1;
+        Attempt::new(self.number, self.count)
+    }
+
+    /// Enters a placement: its room and quota count from now on.
+    pub(crate) fn put(&mut self, job: &JobId, index: u32, placement: Placement) {
+        let Some(live) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let need = live.rec.need;
+        if let Some(m) = self.machines.get_mut(&placement.machine) {
+            m.used.add(need, 1.0);
+            m.empty = None;
+            m.tasks.insert(TaskId {
+                job: job.clone(),
+                index,
+            });
+        }
+        self.teams
+            .entry(live.rec.team.clone())
+            .or_default()
+            .add(need, 1.0);
+        live.placed.insert(index, placement);
+    }
+
+    /// Takes a placement out, once its task is proven gone or was never sent.
+    pub(crate) fn take(&mut self, now: Time, task: &TaskId) {
+        let Some(live) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(p) = live.placed.remove(&task.index) else {
+            return;
+        };
+        let need = live.rec.need;
+        if let Some(used) = self.teams.get_mut(&live.rec.team) {
+            used.add(need, -1.0);
+        }
+        if let Some(m) = self.machines.get_mut(&p.machine) {
+            m.used.add(need, -1.0);
+            m.tasks.remove(task);
+            if m.tasks.is_empty() {
+                m.used = Room::default();
+                m.empty = Some(now);
+            }
+        }
+        let done = live.done.get(task.index as usize).copied().unwrap_or(true);
+        if live.withdrawn.is_some() {
+            if live.placed.is_empty() {
+                self.to_finish.insert(task.job.clone());
+            }
+        } else if !done {
+            live.queue_from = live.queue_from.min(task.index);
+            self.waiting.insert(task.job.clone());
+        }
+        self.place_wanted = true;
+    }
+
+    /// Notes a finished task.
+    pub(crate) fn set_done(&mut self, now: Time, task: &TaskId) {
+        let Some(live) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        match live.done.get_mut(task.index as usize) {
+            Some(done) if !*done => *done = true,
+            _ => return self.take(now, task),
+        }
+        live.done_count += 1;
+        live.fails = 0;
+        let chunk = task.index / live.rec.chunk.max(1);
+        live.chunks.entry(chunk).or_default().unwritten = true;
+        let all = live.done_count == live.rec.count;
+        if all && live.withdrawn.is_none() {
+            self.to_finish.insert(task.job.clone());
+        } else {
+            self.to_flush
+                .insert((FLUSH_RESULTS, task.job.clone(), chunk));
+        }
+        self.take(now, task);
+    }
+
+    /// The present content of a chunk's record.
+    fn run_rec(&self, live: &Live, chunk: u32) -> RunRec {
+        let size = live.rec.chunk.max(1);
+        let (from, to) = (chunk * size, ((chunk + 1) * size).min(live.rec.count));
+        let mut rec = RunRec::default();
+        for index in from..to {
+            if live.done[index as usize] {
+                match rec.done.last_mut() {
+                    Some((_, end)) if *end == index => *end += 1,
+                    _ => rec.done.push((index, index + 1)),
+                }
+            }
+        }
+        for (index, p) in live.placed.range(from..to) {
+            let zone = p.zone.to_string();
+            rec.placed
+                .push((*index, p.attempt, p.machine.clone(), zone));
+        }
+        rec
+    }
+}
+
+impl Live {
+    fn new(job: &jobs::CachedJob, now: Time) -> Self {
+        Self {
+            rec: job.rec.clone(),
+            mark: job.mark,
+            arrival: job.mark,
+            since: now,
+            withdrawn: job.withdrawn,
+            done: vec![false; job.rec.count as usize],
+            done_count: 0,
+            placed: BTreeMap::new(),
+            queue_from: 0,
+            chunks: BTreeMap::new(),
+            finishing: false,
+            not_before: now,
+            fails: 0,
+            failed_on: BTreeSet::new(),
+            preempting: now,
+        }
+    }
+
+    pub(crate) fn is_queued(&self, index: u32) -> bool {
+        !self.done[index as usize] && !self.placed.contains_key(&index)
+    }
+
+    /// How many tasks wait for a machine.
+    pub(crate) fn queued(&self) -> u32 {
+        if self.withdrawn.is_some() {
+            return 0;
+        }
+        (self.rec.count - self.done_count).saturating_sub(self.placed.len() as u32)
+    }
+
+    /// The first queued task from `queue_from` on; moves that mark along.
+    pub(crate) fn next_queued(&mut self) -> Option<u32> {
+        while self.queue_from < self.rec.count && !self.is_queued(self.queue_from) {
+            self.queue_from += 1;
+        }
+        (self.queue_from < self.rec.count).then_some(self.queue_from)
+    }
+}
+
+impl Core {
+    /// A new holder's start: all that earlier ones committed is known, and nothing
+    /// of it is believed to have ended without proof.
+    pub(crate) fn rebuild(&mut self) {
+        let Some(block) = self.holder.as_ref().map(|h| h.block) else {
+            return;
+        };
+        let of_block = |j: &jobs::CachedJob| j.rec.block == block;
+        let jobs = self.cache.jobs.iter().filter(|(_, j)| of_block(j));
+        let ids: Vec<JobId> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.holder_job(&id);
+        }
+        let jobs = &self.cache.jobs;
+        let orphans = self
+            .cache
+            .runs
+            .keys()
+            .filter(|(id, _)| !jobs.contains_key(id));
+        let orphans: Vec<_> = orphans.cloned().collect();
+        if let Some(h) = &mut self.holder {
+            // Chunks without a job belong to no block; the first one's holder clears
+            // them away.
+            h.orphans = if block == 0 { orphans } else { Vec::new() };
+            info!("took over {} jobs of block {block}", h.jobs.len());
+        }
+    }
+
+    /// A job was accepted, or its record changed.
+    pub(crate) fn holder_job(&mut self, id: &JobId) {
+        let Some(job) = self.cache.jobs.get(id) else {
+            return;
+        };
+        let now = self.now;
+        let Some(h) = self.holder.as_mut().filter(|h| h.block == job.rec.block) else {
+            return;
+        };
+        if let Some(live) = h.jobs.get_mut(id) {
+            live.mark = job.mark;
+            if job.withdrawn.is_some() && live.withdrawn.is_none() {
+                live.withdrawn = job.withdrawn;
+                self.halt_withdrawn(id);
+            }
+            return;
+        }
+        let mut live = Live::new(job, now);
+        let mut doubts = Vec::new();
+        for (chunk, (mark, run)) in self.cache.chunks(id) {
+            let entry = live.chunks.entry(chunk).or_default();
+            entry.mark = *mark;
+            for (from, to) in &run.done {
+                for index in *from..(*to).min(live.rec.count) {
+                    if !std::mem::replace(&mut live.done[index as usize], true) {
+                        live.done_count += 1;
+                    }
+                }
+            }
+            doubts.extend(run.placed.iter().cloned());
+        }
+        let withdrawn = live.withdrawn.is_some();
+        h.jobs.insert(id.clone(), live);
+        for (index, attempt, machine, zone) in doubts {
+            if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
+                // Known by name only until it reports. If it never does, it is
+                // deleted, which proves its tasks gone.
+                let mut known = Machine::new(None, "", &zone, false, now);
+                known.up = Some(now);
+                h.machines.insert(machine.clone(), known);
+            }
+            let placement = Placement {
+                machine,
+                zone: zone.as_str().into(),
+                attempt,
+                phase: Phase::Doubt,
+                since: now,
+                halted: None,
+                sends: 0,
+            };
+            h.put(id, index, placement);
+        }
+        let live = &h.jobs[id];
+        if withdrawn {
+            if live.placed.is_empty() {
+                h.to_finish.insert(id.clone());
+            }
+        } else if live.done_count == live.rec.count {
+            h.to_finish.insert(id.clone());
+        } else if live.queued() > 0 {
+            h.waiting.insert(id.clone());
+            h.place_wanted = true;
+        }
+    }
+
+    /// A job's record is gone: it ended, and its end is committed.
+    pub(crate) fn holder_job_gone(&mut self, id: &JobId) {
+        let leftover: Vec<_> = self
+            .cache
+            .chunks(id)
+            .map(|(c, _)| (id.clone(), c))
+            .collect();
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        h.orphans.extend(leftover);
+        let Some(live) = h.jobs.get(id) else {
+            return;
+        };
+        let tasks: Vec<u32> = live.placed.keys().copied().collect();
+        for index in tasks {
+            let job = id.clone();
+            h.take(now, &TaskId { job, index });
+        }
+        h.jobs.remove(id);
+        h.waiting.remove(id);
+        h.to_finish.remove(id);
+        h.to_flush.retain(|(_, job, _)| job != id);
+    }
+
+    /// Stops every task of a withdrawn job: nothing they do is of use any more.
+    fn halt_withdrawn(&mut self, id: &JobId) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        h.waiting.remove(id);
+        let Some(live) = h.jobs.get_mut(id) else {
+            return;
+        };
+        let mut unsent = Vec::new();
+        let mut machines = BTreeSet::new();
+        for (index, p) in &mut live.placed {
+            p.halted.get_or_insert(now);
+            match p.phase {
+                Phase::Ready => unsent.push(*index),
+                _ => {
+                    machines.insert(p.machine.clone());
+                }
+            }
+        }
+        if live.placed.is_empty() {
+            h.to_finish.insert(id.clone());
+        }
+        for index in unsent {
+            let job = id.clone();
+            h.take(now, &TaskId { job, index });
+        }
+        for machine in machines {
+            self.answer_held(&machine);
+        }
+    }
+
+    // ---- writing
+
+    /// Commits chunks, several to a transaction, the most urgent first.
+    pub(crate) fn pump_flush(&mut self) {
+        self.pump_finish();
+        loop {
+            let now = self.now;
+            let ops = self.settings.platform.facts.state.txn_ops;
+            let Some(h) = &mut self.holder else {
+                return;
+            };
+            if h.flushing >= FLUSHES || h.to_flush.is_empty() {
+                return;
+            }
+            if !self.requests.has(now, 1.0, Priority::Usual)
+                || !self.changes.has(now, 1.0, Priority::Usual)
+            {
+                return;
+            }
+            let Some((op, items)) = next_flush(h, ops) else {
+                return;
+            };
+            match self.state_call(op, Purpose::Flush(items), Priority::Usual) {
+                Ok(_) => {
+                    if let Some(h) = &mut self.holder {
+                        h.flushing += 1;
+                    }
+                }
+                Err(Purpose::Flush(items)) => {
+                    if let Some(h) = &mut self.holder {
+                        items.iter().for_each(|i| h.flush_again(i));
+                    }
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(crate) fn on_flushed(&mut self, items: Vec<FlushItem>, reply: StateReply) {
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        h.flushing = h.flushing.saturating_sub(1);
+        if !matches!(reply, StateReply::Committed { .. }) {
+            debug!("{} chunks not written: {reply:?}", items.len());
+        }
+        let mut ready = BTreeSet::new();
+        let mut reread = Vec::new();
+        for item in &items {
+            let now = self.now;
+            let Some(live) = h.jobs.get_mut(&item.job) else {
+                continue;
+            };
+            let chunk = live.chunks.entry(item.chunk).or_default();
+            chunk.busy = false;
+            match &reply {
+                StateReply::Committed { ledger } => {
+                    chunk.mark = *ledger;
+                    // What came in meanwhile is still to be written.
+                    let queued = |u| h.to_flush.contains(&(u, item.job.clone(), item.chunk));
+                    chunk.unwritten = (0..=FLUSH_RESULTS).any(queued);
+                    for machine in make_ready(now, live, &item.placed) {
+                        ready.insert(machine);
+                    }
+                }
+                StateReply::Conflict { failed } => {
+                    let own = failed.contains(&Key::Run(item.job.clone(), item.chunk));
+                    let job = failed.contains(&Key::Job(item.job.clone()));
+                    if own {
+                        chunk.busy = true;
+                        reread.push((item.job.clone(), item.chunk));
+                    } else if job {
+                        h.drop_uncommitted(now, item);
+                    } else {
+                        h.flush_again(item);
+                    }
+                }
+                // Not executed, or perhaps: the same conditions make it happen once.
+                _ => h.flush_again(item),
+            }
+        }
+        let jobs: BTreeSet<JobId> = items.into_iter().map(|i| i.job).collect();
+        for job in &jobs {
+            h.drop_unsent(self.now, job);
+        }
+        for (job, chunk) in reread {
+            self.reread(job, chunk);
+        }
+        for machine in ready {
+            self.answer_held(&machine);
+        }
+    }
+
+    /// Reads a chunk whose revision isn't the expected one: an earlier commit whose
+    /// answer was lost stands after all.
+    fn reread(&mut self, job: JobId, chunk: u32) {
+        let op = StateOp::Get(Key::Run(job.clone(), chunk));
+        let purpose = Purpose::Reread(job, chunk);
+        if let Err(Purpose::Reread(job, chunk)) = self.state_call(op, purpose, Priority::First) {
+            self.reread_later(&job, chunk);
+        }
+    }
+
+    fn reread_later(&mut self, job: &JobId, chunk: u32) {
+        // The chunk is written again, fails again, and is read then.
+        if let Some(h) = &mut self.holder {
+            if let Some(c) = h.jobs.get_mut(job).and_then(|l| l.chunks.get_mut(&chunk)) {
+                c.busy = false;
+            }
+            h.to_flush.insert((0, job.clone(), chunk));
+        }
+    }
+
+    pub(crate) fn on_reread(&mut self, job: JobId, chunk: u32, reply: StateReply) {
+        let (mark, run) = match reply {
+            StateReply::Found {
+                record: Record::Run(run),
+                mark,
+            } => (mark, run),
+            StateReply::Missing { .. } => (0, RunRec::default()),
+            _ => return self.reread_later(&job, chunk),
+        };
+        let now = self.now;
+        let mut ready = Vec::new();
+        if let Some(h) = &mut self.holder {
+            if let Some(live) = h.jobs.get_mut(&job) {
+                let entry = live.chunks.entry(chunk).or_default();
+                entry.mark = mark;
+                entry.busy = false;
+                let placed: Vec<_> = run.placed.iter().map(|p| (p.0, p.1)).collect();
+                ready = make_ready(now, live, &placed);
+            }
+            h.drop_unsent(now, &job);
+            h.to_flush.insert((0, job, chunk));
+        }
+        for machine in ready {
+            self.answer_held(&machine);
+        }
+    }
+
+    /// Writes the ends of jobs. The end comes first, and with it the job's record
+    /// goes; chunks that don't fit into the transaction go later.
+    fn pump_finish(&mut self) {
+        let ops = self.settings.platform.facts.state.txn_ops;
+        let Some(h) = &self.holder else {
+            return;
+        };
+        let ids: Vec<JobId> = h.to_finish.iter().cloned().collect();
+        for id in ids {
+            let Some(h) = &mut self.holder else {
+                return;
+            };
+            let Some(live) = h.jobs.get_mut(&id) else {
+                h.to_finish.remove(&id);
+                continue;
+            };
+            let busy = live.finishing || live.chunks.values().any(|c| c.busy);
+            if busy || (live.withdrawn.is_some() && !live.placed.is_empty()) {
+                continue;
+            }
+            let (job, end) = (Key::Job(id.clone()), Key::End(id.clone()));
+            let mut when = vec![
+                (Key::Block(h.block), h.block_mark),
+                (job.clone(), live.mark),
+            ];
+            let mut writes = Vec::new();
+            if live.withdrawn.is_none() {
+                when.push((end.clone(), 0));
+                writes.push(Write::put(end, Record::End(Ending::Done)));
+            }
+            writes.push(Write::Delete { key: job });
+            let written = live.chunks.iter().filter(|(_, c)| c.mark > 0);
+            let room = ops - writes.len();
+            writes.extend(written.take(room).map(|(chunk, _)| Write::Delete {
+                key: Key::Run(id.clone(), *chunk),
+            }));
+            live.finishing = true;
+            let op = StateOp::Commit { when, writes };
+            if self
+                .state_call(op, Purpose::Finish(id.clone()), Priority::Usual)
+                .is_err()
+            {
+                if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) {
+                    live.finishing = false;
+                }
+                return;
+            }
+        }
+        self.pump_cleanup(ops);
+    }
+
+    fn pump_cleanup(&mut self, ops: usize) {
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if h.cleaning || h.orphans.is_empty() {
+            return;
+        }
+        let n = h.orphans.len().min(ops);
+        let list: Vec<_> = h.orphans.drain(..n).collect();
+        let writes = list.iter().map(|(job, chunk)| Write::Delete {
+            key: Key::Run(job.clone(), *chunk),
+        });
+        let op = StateOp::Commit {
+            when: vec![(Key::Block(h.block), h.block_mark)],
+            writes: writes.collect(),
+        };
+        h.cleaning = true;
+        if let Err(Purpose::Cleanup(list)) =
+            self.state_call(op, Purpose::Cleanup(list), Priority::Last)
+        {
+            self.on_cleaned(list, StateReply::Refused);
+        }
+    }
+
+    pub(crate) fn on_cleaned(&mut self, list: Vec<(JobId, u32)>, reply: StateReply) {
+        if let Some(h) = &mut self.holder {
+            h.cleaning = false;
+            if !matches!(reply, StateReply::Committed { .. }) {
+                h.orphans.extend(list);
+            }
+        }
+    }
+
+    pub(crate) fn on_finished(&mut self, id: JobId, reply: StateReply) {
+        let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) else {
+            return;
+        };
+        live.finishing = false;
+        // The follow brings the end; a conflict means that a withdrawal came first,
+        // and anything else is tried again.
+        if let StateReply::Committed { .. } = reply {
+            live.finishing = true;
+            let all = live.withdrawn.is_none();
+            info!("job {id} {}", if all { "done" } else { "cleared away" });
+        } else if let StateReply::Conflict { failed } = reply {
+            warn!("job {id} didn't end: {} changed", failed.len());
+        }
+    }
+}
+
+/// Marks committed placements; returns their machines.
+fn make_ready(now: Time, live: &mut Live, placed: &[(u32, Attempt)]) -> Vec<MachineId> {
+    let mut machines = Vec::new();
+    for (index, attempt) in placed {
+        if let Some(p) = live.placed.get_mut(index) {
+            if p.attempt == *attempt && p.phase == Phase::Committing {
+                p.phase = Phase::Ready;
+                p.since = now;
+                machines.push(p.machine.clone());
+            }
+        }
+    }
+    machines
+}
+
+impl Holder {
+    fn flush_again(&mut self, item: &FlushItem) {
+        if let Some(live) = self.jobs.get_mut(&item.job) {
+            live.chunks.entry(item.chunk).or_default().busy = false;
+            self.to_flush.insert((0, item.job.clone(), item.chunk));
+        }
+    }
+
+    /// Placements told to stop before their start was sent: they can't be there.
+    fn drop_unsent(&mut self, now: Time, job: &JobId) {
+        let Some(live) = self.jobs.get(job) else {
+            return;
+        };
+        let unsent = live
+            .placed
+            .iter()
+            .filter(|(_, p)| p.halted.is_some() && p.phase == Phase::Ready);
+        let unsent: Vec<u32> = unsent.map(|(index, _)| *index).collect();
+        for index in unsent {
+            let job = job.clone();
+            self.take(now, &TaskId { job, index });
+        }
+    }
+
+    /// The job changed under a commit, so its placements were never made.
+    fn drop_uncommitted(&mut self, now: Time, item: &FlushItem) {
+        for (index, attempt) in &item.placed {
+            let same = |p: &Placement| p.attempt == *attempt && p.phase == Phase::Committing;
+            let live = self.jobs.get(&item.job);
+            if live.and_then(|l| l.placed.get(index)).is_some_and(same) {
+                let task = TaskId {
+                    job: item.job.clone(),
+                    index: *index,
+                };
+                self.take(now, &task);
+            }
+        }
+    }
+}
+
+/// Builds the next transaction of chunks.
+fn next_flush(h: &mut Holder, ops: usize) -> Option<(StateOp, Vec<FlushItem>)> {
+    let mut when = vec![(Key::Block(h.block), h.block_mark)];
+    let (mut writes, mut items, mut bytes) = (Vec::new(), Vec::new(), 0);
+    let candidates: Vec<_> = h.to_flush.iter().take(4 * ops).cloned().collect();
+    for entry in candidates {
+        if writes.len() >= ops || bytes > FLUSH_BYTES {
+            break;
+        }
+        let (_, job, chunk) = &entry;
+        let Some(live) = h.jobs.get(job) else {
+            h.to_flush.remove(&entry);
+            continue;
+        };
+        if live.finishing || live.chunks.get(chunk).is_some_and(|c| c.busy) {
+            continue;
+        }
+        let mark = live.chunks.get(chunk).map_or(0, |c| c.mark);
+        let rec = h.run_rec(live, *chunk);
+        bytes += 60 * rec.placed.len() + 12 * rec.done.len();
+        when.push((Key::Job(job.clone()), live.mark));
+        when.push((Key::Run(job.clone(), *chunk), mark));
+        let placed = rec.placed.iter().map(|p| (p.0, p.1)).collect();
+        writes.push(Write::put(Key::Run(job.clone(), *chunk), Record::Run(rec)));
+        items.push(FlushItem {
+            job: job.clone(),
+            chunk: *chunk,
+            placed,
+        });
+        // One commit carries all that is to be written of the chunk.
+        for urgency in 0..=FLUSH_RESULTS {
+            h.to_flush.remove(&(urgency, job.clone(), *chunk));
+        }
+        if let Some(live) = h.jobs.get_mut(job) {
+            live.chunks.entry(*chunk).or_default().busy = true;
+        }
+    }
+    // A job with several chunks in the transaction is compared once.
+    when.sort();
+    when.dedup();
+    (!writes.is_empty()).then_some((StateOp::Commit { when, writes }, items))
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,22 +5,24 @@
 //! should act; they are never what makes a wrong act harmless.
 
 mod autoscaler;
-pub mod blocks;
+mod blocks;
 pub mod budget;
 mod election;
 mod front;
 pub mod health;
+pub mod holder;
 pub mod jobs;
 mod placement;
 pub mod records;
 mod workers;
 
 use crate::ids::*;
-use crate::peer::Hello;
+use crate::peer::{Hello, Message, Tally};
 use crate::settings::Settings;
 use crate::wire::*;
-use blocks::Holder;
+use blocks::Lead;
 use budget::{Bucket, Priority};
+use holder::Holder;
 use jobs::{Cache, Event};
 use records::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -49,7 +51,7 @@
     Hangup(ReqId),
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
-    Peer(Hello),
+    Peer(Message),
     /// Time has passed.
     Tick,
 }
@@ -87,8 +89,8 @@
     /// Nobody waits for this call any more; its connection is closed.
     Forget(CallId),
     Cloud(CallId, CloudOp),
-    /// To every sibling.
-    Peer(Hello),
+    /// To one sibling, or to all.
+    Peer(Option<Member>, Message),
 }
 
 /// What a call to the state service is for.
@@ -103,18 +105,25 @@
     Submit(Vec<front::Submission>),
     Withdraw(front::Question),
     ReadEnd(front::Question),
-    Flush(Vec<blocks::FlushItem>),
+    Flush(Vec<holder::FlushItem>),
     Reread(JobId, u32),
     Finish(JobId),
     Cleanup(Vec<(JobId, u32)>),
     Plan,
+    Lease,
 }
 
 pub(crate) struct Call {
     purpose: Purpose,
     sent: Time,
+    /// The block in hand when it was sent: its answer means nothing to another
+    /// holding of that block.
+    tenure: Tenure,
 }
 
+/// One holding of one block.
+pub(crate) type Tenure = Option<(u32, Number)>;
+
 /// How often work that nothing else triggers is looked at.
 const CHORES_MS: u64 = 100;
 /// Shortest pause between two reads of the present revision.
@@ -158,7 +167,7 @@
     out: Vec<Output>,
     next_call: u64,
     calls: HashMap<CallId, Call>,
-    cloud_calls: HashMap<CallId, autoscaler::CloudPurpose>,
+    cloud_calls: HashMap<CallId, (autoscaler::CloudPurpose, Tenure)>,
     requests: Bucket,
     changes: Bucket,
     cloud_budget: Bucket,
@@ -175,11 +184,22 @@
     heard_at: Time,
     front: front::Front,
     election: election::Election,
+    /// The block in hand; see `in_block`.
     pub(crate) holder: Option<Holder>,
+    /// The blocks that this controller holds, but for the one in hand.
+    parked: BTreeMap<u32, Holder>,
+    /// The number under which each block was last held and given up.
+    spent: BTreeMap<u32, Number>,
+    pub(crate) lead: Option<Lead>,
     pub(crate) catalog: Vec<ClassInfo>,
     catalog_retry: Time,
     siblings: BTreeMap<Member, (Hello, Time)>,
     hello_at: Time,
+    tally_at: Time,
+    listing: bool,
+    list_at: Time,
+    /// The revision of the plan that was carried out here.
+    plan_seen: u64,
     /// When a worker last reported here.
     worker_heard: Time,
     chores_at: Time,
@@ -214,10 +234,17 @@
             front: front::Front::default(),
             election: election::Election::default(),
             holder: None,
+            parked: BTreeMap::new(),
+            spent: BTreeMap::new(),
+            lead: None,
             catalog: Vec::new(),
             catalog_retry: Time(0),
             siblings: BTreeMap::new(),
             hello_at: Time(0),
+            tally_at: Time(0),
+            listing: false,
+            list_at: Time(0),
+            plan_seen: 0,
             worker_heard: Time(0),
             chores_at: Time(0),
         };
@@ -233,35 +260,66 @@
             Input::Hangup(req) => self.on_hangup(req),
             Input::State(call, reply) => self.on_state(call, reply),
             Input::Cloud(call, reply) => self.on_cloud(call, reply),
-            Input::Peer(hello) => self.on_hello(hello),
+            Input::Peer(Message::Hello(hello)) => self.on_hello(hello),
+            Input::Peer(Message::Tally(tally)) => self.on_tally(*tally),
             Input::Tick => {}
         }
         if self.now >= self.chores_at {
             self.chores_at = Time(self.now.0 + CHORES_MS);
             self.chores();
         }
-        self.release_reports();
+        self.each_block(Self::release_reports);
         self.pump();
         std::mem::take(&mut self.out)
     }
 
     /// When `step` wants to be called again at the latest.
     pub fn wake_at(&self) -> Time {
-        let held = self.holder.as_ref().and_then(Holder::first_release);
+        let held = self.parked.values().filter_map(Holder::first_release).min();
         held.map_or(self.chores_at, |t| t.min(self.chores_at))
     }
 
-    /// Whether this controller holds a block, for the log and for tests.
+    /// The highest number under which this controller holds a block.
     pub fn holds(&self) -> Option<Number> {
-        self.holder.as_ref().map(|h| h.number)
+        self.parked.values().map(|h| h.number).max()
+    }
+
+    /// Whether this controller leads.
+    pub fn leads(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// Does something with one block in hand, if this controller holds it.
+    pub(crate) fn in_block(&mut self, block: u32, act: impl FnOnce(&mut Self)) {
+        let before = self.holder.take();
+        let outer = before.as_ref().map(|h| h.block);
+        if let Some(h) = before {
+            self.parked.insert(h.block, h);
+        }
+        self.holder = self.parked.remove(&block);
+        if self.holder.is_some() {
+            act(self);
+        }
+        if let Some(h) = self.holder.take() {
+            self.parked.insert(h.block, h);
+        }
+        self.holder = outer.and_then(|b| self.parked.remove(&b));
+    }
+
+    pub(crate) fn each_block(&mut self, act: fn(&mut Self)) {
+        let blocks: Vec<u32> = self.parked.keys().copied().collect();
+        for block in blocks {
+            self.in_block(block, act);
+        }
     }
 
     fn chores(&mut self) {
         self.sync_chores();
         self.front_chores();
         self.election_chores();
-        self.holder_chores();
-        self.cloud_chores();
+        self.each_block(Self::holder_chores);
+        self.catalog_chores();
+        self.lead_chores();
         if self.now >= self.hello_at {
             self.hello_at = self.now.after(1.0);
             self.say_hello();
@@ -269,28 +327,39 @@
     }
 
     fn pump(&mut self) {
-        self.place();
-        self.pump_flush();
+        self.each_block(Self::place);
+        self.each_block(Self::pump_flush);
         self.pump_front();
         self.pump_fresh();
     }
 
     // ---- calls to the state service
 
-    /// Splits the limits that all controllers use together: the holder places for
-    /// all and gets more; the others share the rest.
+    /// Splits the limits that all controllers use together. A single block's holder
+    /// places for all and gets more, the others share the rest; with several blocks
+    /// the shares are even.
     pub(crate) fn share_budgets(&mut self) {
         let f = &self.settings.platform.facts;
         let (t, others) = (&self.settings.tuning, f.count.saturating_sub(1));
-        let part = match (others, self.holder.is_some()) {
+        let single = self.cache.blocks.len() <= 1;
+        let part = match (others, self.parked.is_empty()) {
             (0, _) => 1.0,
-            (_, true) => t.budget_holder,
-            (n, false) => (1.0 - t.budget_holder) / f64::from(n),
+            (n, _) if !single => 1.0 / f64::from(n + 1),
+            (_, false) => t.budget_holder,
+            (n, true) => (1.0 - t.budget_holder) / f64::from(n),
         };
         let part = part * t.budget_share;
         let (rps, wps) = (f.state.rps * part, f.state.write_rps * part);
+        // Those who don't lead ask the cloud for its catalogue and delete machines.
+        let cloud = f.cloud.rps * t.budget_share;
+        let cloud = match (others, single, self.lead.is_some()) {
+            (0, _, _) | (_, true, _) => cloud,
+            (_, _, true) => cloud * 0.6,
+            (n, _, false) => cloud * 0.4 / f64::from(n),
+        };
         self.requests.set(self.now, rps, rps);
         self.changes.set(self.now, wps, wps);
+        self.cloud_budget.set(self.now, cloud, cloud * 1.5);
     }
 
     fn write_cost(op: &StateOp) -> f64 {
@@ -317,11 +386,21 @@
         self.changes.take(cost);
         let id = self.call_id();
         let sent = self.now;
-        self.calls.insert(id, Call { purpose, sent });
+        let tenure = self.tenure();
+        let call = Call {
+            purpose,
+            sent,
+            tenure,
+        };
+        self.calls.insert(id, call);
         self.out.push(Output::State(id, op));
         Ok(id)
     }
 
+    pub(crate) fn tenure(&self) -> Tenure {
+        self.holder.as_ref().map(|h| (h.block, h.number))
+    }
+
     pub(crate) fn call_id(&mut self) -> CallId {
         self.next_call += 1;
         CallId(self.next_call)
@@ -332,9 +411,14 @@
     }
 
     fn on_state(&mut self, id: CallId, reply: StateReply) {
-        let Some(Call { purpose, sent }) = self.calls.remove(&id) else {
+        let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        let Call {
+            purpose,
+            sent,
+            tenure,
+        } = call;
         match &reply {
             StateReply::Refused | StateReply::NoAnswer | StateReply::Strange => {}
             _ => self.heard_at = self.now,
@@ -355,15 +439,31 @@
             Purpose::Submit(list) => self.on_submitted(list, reply),
             Purpose::Withdraw(q) => self.on_withdrawn(q, reply),
             Purpose::ReadEnd(q) => self.on_end_read(q, reply),
-            Purpose::Flush(items) => self.on_flushed(items, reply),
-            Purpose::Reread(job, chunk) => self.on_reread(job, chunk, reply),
-            Purpose::Finish(job) => self.on_finished(job, reply),
-            Purpose::Cleanup(list) => self.on_cleaned(list, reply),
             Purpose::Plan => self.on_planned(reply),
+            Purpose::Lease => self.on_leased(reply),
+            of_block => self.on_block_reply(of_block, tenure, reply),
         }
         self.catch_up();
     }
 
+    fn on_block_reply(&mut self, purpose: Purpose, tenure: Tenure, reply: StateReply) {
+        let Some((block, number)) = tenure else {
+            return;
+        };
+        self.in_block(block, |core| {
+            if core.tenure() != Some((block, number)) {
+                return;
+            }
+            match purpose {
+                Purpose::Flush(items) => core.on_flushed(items, reply),
+                Purpose::Reread(job, chunk) => core.on_reread(job, chunk, reply),
+                Purpose::Finish(job) => core.on_finished(job, reply),
+                Purpose::Cleanup(list) => core.on_cleaned(list, reply),
+                _ => {}
+            }
+        });
+    }
+
     // ---- following
 
     fn sync_chores(&mut self) {
@@ -460,7 +560,7 @@
             }
             StateReply::TooOld => {
                 // What was missed can't be told apart from what never was.
-                self.step_down("the follow fell behind");
+                self.give_up("the follow fell behind");
                 self.listed = false;
                 self.sync = Sync::Idle { retry_at: self.now };
             }
@@ -476,8 +576,17 @@
         let mut control = false;
         for event in events {
             match event {
-                Event::Job(id) => self.holder_job(&id),
-                Event::JobGone(id) => self.holder_job_gone(&id),
+                Event::Job(id) => {
+                    let block = self.cache.jobs.get(&id).map(|j| j.rec.block);
+                    self.in_block(block.unwrap_or(0), |core| core.holder_job(&id));
+                }
+                Event::JobGone(id) => {
+                    let mut holders = self.parked.values();
+                    let holder = holders.find(|h| h.jobs.contains_key(&id));
+                    if let Some(block) = holder.map(|h| h.block) {
+                        self.in_block(block, |core| core.holder_job_gone(&id));
+                    }
+                }
                 Event::Control => control = true,
             }
         }
@@ -543,22 +652,19 @@
     // ---- siblings
 
     fn say_hello(&mut self) {
-        let leader = match (&self.holder, &self.cache.leader.rec) {
-            (Some(_), _) => Some(self.settings.platform.member.clone()),
-            (None, rec) => rec.as_ref().map(|l| l.member.clone()),
-        };
-        let number = match &self.holder {
-            Some(h) => h.number,
-            None => self.cache.highest(),
-        };
+        let blocks = self.cache.blocks.iter().filter_map(|(k, b)| {
+            let rec = b.rec.as_ref()?;
+            Some((*k, rec.number, rec.holder.clone()))
+        });
         let hello = Hello {
             from: self.settings.platform.member.clone(),
-            number,
-            leader,
+            boot: self.boot,
+            leader: self.cache.leader.rec.as_ref().map(|l| l.member.clone()),
+            blocks: blocks.collect(),
             sighted: !self.blind(),
             heard: self.now.since(self.worker_heard) < HEARD_S,
         };
-        self.out.push(Output::Peer(hello));
+        self.out.push(Output::Peer(None, Message::Hello(hello)));
     }
 
     fn on_hello(&mut self, hello: Hello) {
@@ -568,28 +674,42 @@
         }
         // Cut off from the state service, a holder learns here that it has been
         // replaced, and stops answering for its workers.
-        if self
-            .holder
-            .as_ref()
-            .is_some_and(|h| hello.number > h.number)
-        {
-            self.step_down("a sibling knows a higher number");
+        for (block, number, _) in &hello.blocks {
+            let replaced = self.parked.get(block).is_some_and(|h| *number > h.number);
+            if replaced {
+                self.in_block(*block, |core| {
+                    core.drop_block("a sibling knows a higher number");
+                });
+            }
         }
         let at = self.now;
         self.siblings.insert(hello.from.clone(), (hello, at));
     }
 
-    /// Who leads, as far as can be told: by the state service or, when this
-    /// controller is blind, by what siblings said lately.
-    pub(crate) fn known_leader(&self) -> Option<Member> {
+    /// Who holds the block that a machine belongs to, as far as can be told: by the
+    /// state service or, when this controller is blind, by what siblings said lately.
+    pub(crate) fn holder_of(&self, machine: &MachineId) -> Option<Member> {
+        let lists = |b: &&BlockRec| {
+            let list = b.machines.as_ref();
+            list.is_none_or(|list| list.iter().any(|e| e.0 == *machine))
+        };
+        let recs = self.cache.blocks.iter();
+        let mut recs = recs.filter_map(|(k, b)| Some((*k, b.rec.as_ref()?)));
+        let found = recs.find(|(_, b)| lists(b));
         let me = &self.settings.platform.member;
-        let said = self.lately().filter(|h| h.sighted).max_by_key(|h| h.number);
-        let own = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
-        let leader = match said {
-            Some(h) if self.blind() || h.number > self.cache.highest() => h.leader.clone(),
-            _ => own,
+        let Some((block, rec)) = found else {
+            // In no block yet: the leader will see to it.
+            let leader = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
+            return leader.filter(|l| l != me);
         };
-        leader.filter(|l| l != me)
+        let said = self.lately().filter(|h| h.sighted);
+        let said = said
+            .flat_map(|h| &h.blocks)
+            .filter(|(k, n, _)| *k == block && *n > rec.number);
+        let newest = said
+            .max_by_key(|(_, n, _)| *n)
+            .map(|(_, _, holder)| holder.clone());
+        Some(newest.unwrap_or(rec.holder.clone())).filter(|holder| holder != me)
     }
 
     /// Whether a sibling says that it sees the state service.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -1,6 +1,6 @@
 //! Where tasks go: as soon as they come, wherever the block has room for them.
 
-use super::blocks::{Live, Machine, Phase, Placement};
+use super::holder::{Live, Machine, Phase, Placement};
 use super::*;
 use log::debug;
 use std::rc::Rc;
@@ -172,8 +172,22 @@
         return false;
     };
     let used = h.teams.get(&rec.team).copied().unwrap_or_default();
-    let fits = |used: f64, need: f64, max: f64| max <= 0.0 || used + need <= max + 1e-6;
-    fits(used.cpus, rec.need.cpus, team.cpus_max) && fits(used.gpus, rec.need.gpus, team.gpus_max)
+    let (cpus, gpus) = h.allowance(team);
+    let fits = |used: f64, need: f64, max: f64| used + need <= max + 1e-6;
+    fits(used.cpus, rec.need.cpus, cpus) && fits(used.gpus, rec.need.gpus, gpus)
+}
+
+impl Holder {
+    /// How many CPUs and GPUs a team may use in this block.
+    pub(crate) fn allowance(&self, team: &crate::settings::Team) -> (f64, f64) {
+        let given = self.allowances.as_ref().map(|a| a.get(&team.name).copied());
+        let (cpus, gpus) = match given {
+            None => (team.cpus_max, team.gpus_max),
+            Some(given) => given.unwrap_or((0.0, 0.0)),
+        };
+        let limit = |max: f64, here: f64| if max > 0.0 { here } else { f64::MAX };
+        (limit(team.cpus_max, cpus), limit(team.gpus_max, gpus))
+    }
 }
 
 /// Whether a task fits into what its team is guaranteed.
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -3,6 +3,7 @@
 
 use crate::ids::{Attempt, Image, JobId, MachineId, Member, Number};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// The prefix of every key.
@@ -71,6 +72,9 @@
     pub highest: Number,
 }
 
+/// A machine as a block's record names it: type, zone, and whether it is spot.
+pub type Entry = (MachineId, String, String, bool);
+
 /// A block: who holds it and under which number. Starts are committed on the
 /// condition that this record is unchanged.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -78,6 +82,13 @@
     pub holder: Member,
     pub boot: u64,
     pub number: Number,
+    /// The block's machines; `None` for all there are, while it is the only block.
+    #[serde(default)]
+    pub machines: Option<Vec<Entry>>,
+    /// CPUs and GPUs that each team with a limit may use here; `None` for the whole
+    /// limit, while this is the only block.
+    #[serde(default)]
+    pub allowances: Option<BTreeMap<String, (f64, f64)>>,
 }
 
 /// One request to rent, written before it is sent, so that a new leader can repeat
@@ -91,12 +102,24 @@
     pub count: u32,
 }
 
+/// A type, zone and kind (spot or not) of which the cloud has nothing left.
+pub type Closed = (String, String, bool);
+
 /// The leader's plan of a tick: wanted counts and the requests to rent under way.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlanRec {
     pub number: Number,
     pub wanted: Vec<(String, bool, u32)>,
     pub hires: Vec<HireRec>,
+    /// Blocks that take new jobs, each with its share.
+    #[serde(default)]
+    pub shares: Vec<(u32, u32)>,
+    /// What isn't to be had for now; tasks count on other pools meanwhile.
+    #[serde(default)]
+    pub closed: Vec<Closed>,
+    /// Machines to return, if they are empty.
+    #[serde(default)]
+    pub returns: Vec<MachineId>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -8,8 +8,8 @@
 //!    the state service; or
 //! 3. the cloud said that its machine is deleted.
 
-use super::blocks::{Machine, Phase};
 use super::health::{BAD_JOB_MACHINES, Health, job_pause_s};
+use super::holder::{Machine, Phase};
 use super::*;
 use log::{debug, info, warn};
 use std::collections::{BTreeSet, HashMap};
@@ -36,10 +36,10 @@
 const GONE_S: f64 = 900.0;
 
 impl Core {
-    /// Sends a worker to the holder, if it is known.
-    pub(crate) fn steer(&mut self, req: ReqId) {
-        let leader = self.known_leader();
-        self.answer(req, Reply::ok(421, steer_body(leader.as_ref())));
+    /// Sends a worker to its block's holder, if it is known.
+    pub(crate) fn steer(&mut self, req: ReqId, machine: &MachineId) {
+        let holder = self.holder_of(machine);
+        self.answer(req, Reply::ok(421, steer_body(holder.as_ref())));
     }
 
     /// Longest time without sight of the state service in which reports are still
@@ -51,30 +51,45 @@
     }
 
     pub(crate) fn on_report(&mut self, req: ReqId, report: Report) {
+        self.worker_heard = self.now;
+        let id = MachineId::from(report.machine.as_str());
+        let mine = self
+            .parked
+            .iter()
+            .find(|(_, h)| h.machines.contains_key(&id));
+        let whole = |h: &&Holder| h.whole;
+        let block = mine.map(|(k, _)| *k);
+        let block = block.or_else(|| self.parked.values().find(whole).map(|h| h.block));
+        let Some(block) = block else {
+            self.note_stray(&id, &report);
+            return self.steer(req, &id);
+        };
+        self.in_block(block, |core| core.on_block_report(req, &id, report));
+    }
+
+    fn on_block_report(&mut self, req: ReqId, id: &MachineId, report: Report) {
         let blind = self.blind_s();
         let limit = self.blind_limit_s();
         let now = self.now;
-        self.worker_heard = now;
         let Some(h) = &mut self.holder else {
-            return self.steer(req);
+            return;
         };
         h.heard = now;
         // Somebody newer gives commands. Its answers count, ours would be dropped.
         if report.number > h.number.0 {
-            return self.steer(req);
+            return self.steer(req, id);
         }
         if blind > limit {
             return self.answer(req, Reply::later(503, 1, "cut off from the state service"));
         }
-        let id = MachineId::from(report.machine.as_str());
-        if h.gone.contains_key(&id) {
+        if h.gone.contains_key(id) {
             return self.answer(req, Reply::later(503, 5, "this machine is deleted"));
         }
-        self.adopt(&id, &report);
+        self.adopt(id, &report);
         let Some(h) = &mut self.holder else {
             return;
         };
-        let Some(m) = h.machines.get_mut(&id) else {
+        let Some(m) = h.machines.get_mut(id) else {
             return;
         };
         let (number, fresh) = (h.number, (report.session, report.seq) > (m.session, m.seq));
@@ -103,12 +118,12 @@
             m.answered = now;
             self.answer(old, Reply::ok(200, commands_body(number, &[])));
         }
-        self.read_tasks(&id, &report, proof);
-        let commands = self.commands(&id, Some(&report));
-        if commands.is_empty() && self.hold_report(&id, req) {
+        self.read_tasks(id, &report, proof);
+        let commands = self.commands(id, Some(&report));
+        if commands.is_empty() && self.hold_report(id, req) {
             return;
         }
-        self.send_commands(&id, req, &commands);
+        self.send_commands(id, req, &commands);
     }
 
     /// A machine nobody here knows reports: an earlier leader's, or one whose rental
@@ -439,6 +454,8 @@
         self.check_cancels();
         self.check_silent();
         self.drain();
+        self.doom_unborn();
+        self.delete_doomed();
         let now = self.now;
         if let Some(h) = &mut self.holder {
             h.gone.retain(|_, at| now.since(*at) < GONE_S);
--- a/src/net.rs
+++ b/src/net.rs
@@ -27,7 +27,7 @@
 const CLOUD_CONNS: usize = 4;
 /// Most bytes that wait to be written to one connection.
 const OUT_MAX: usize = 1 << 20;
-const PEER_OUT_MAX: usize = 8 * 1024;
+const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
 /// A whole request has to come within this time.
 const REQUEST_S: f64 = 10.0;
 /// Quiet connections are closed after this time, or sooner when sockets are short.
@@ -254,7 +254,7 @@
                 Output::State(call, op) => self.start_call(call, Op::State(op)),
                 Output::Cloud(call, op) => self.start_call(call, Op::Cloud(op)),
                 Output::Forget(call) => self.end_call(call),
-                Output::Peer(hello) => self.say(&peer::frame(&hello)),
+                Output::Peer(to, message) => self.say(to.as_ref(), &peer::frame(&message)),
             }
         }
     }
@@ -481,7 +481,7 @@
         };
         loop {
             match peer::unframe(buf) {
-                Ok(Some(hello)) => self.inputs.push_back(Input::Peer(hello)),
+                Ok(Some(message)) => self.inputs.push_back(Input::Peer(message)),
                 Ok(None) => return true,
                 Err(why) => {
                     warn!("a sibling's connection is dropped: {why}");
@@ -752,10 +752,14 @@
 
     // ---- siblings
 
-    fn say(&mut self, bytes: &[u8]) {
+    /// Sends to one sibling, or to all.
+    fn say(&mut self, to: Option<&Member>, bytes: &[u8]) {
         let now = self.now();
         let siblings = self.settings.platform.siblings.clone();
         for s in siblings {
+            if to.is_some_and(|to| *to != s.member) {
+                continue;
+            }
             let key = match self.peers.get(&s.member) {
                 Some(key) => *key,
                 None => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,7 +6,6 @@
 use serde::de::{DeserializeOwned, Deserializer, Visitor};
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::net::SocketAddrV4;
 
 /// Most bytes of a body that is taken from or sent to users and workers.
 pub const BODY_MAX: usize = 64 * 1024;
@@ -337,22 +336,6 @@
     })
 }
 
-#[derive(Serialize)]
-struct OrdersBody<'a> {
-    baton: Number,
-    shift: u64,
-    cues: &'a [Command],
-}
-
-/// Commands sent straight to a worker.
-pub fn orders_body(number: Number, session: u64, commands: &[Command]) -> Vec<u8> {
-    encode(&OrdersBody {
-        baton: number,
-        shift: session,
-        cues: commands,
-    })
-}
-
 // ---- cloud
 
 #[derive(Clone, Debug, PartialEq)]
@@ -887,8 +870,3 @@
         news: news.collect(),
     }
 }
-
-/// The address a worker gave, if it is one that can be reached.
-pub fn endpoint(text: &str) -> Option<SocketAddrV4> {
-    text.parse().ok()
-}
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -316,13 +316,14 @@
 
 #[test]
 fn peer_messages() {
-    let hello = peer::Hello {
+    let hello = peer::Message::Hello(peer::Hello {
         from: "node-1".into(),
-        number: salttrestle::ids::Number(4),
+        boot: 7,
         leader: None,
+        blocks: vec![(0, salttrestle::ids::Number(4), "node-2".into())],
         sighted: true,
         heard: false,
-    };
+    });
     let framed = peer::frame(&hello);
     let mut buf = [framed.clone(), framed[..4].to_vec()].concat();
     assert_eq!(peer::unframe(&mut buf), Ok(Some(hello)));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -10,6 +10,8 @@
 use std::path::Path;
 
 fn main() {
+    // RUST_LOG=info shows what the cores log; for one scenario, name it.
+    env_logger::init();
     let args = Arguments::from_args();
     let mut trials = Vec::new();
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
@@ -104,8 +106,13 @@
             let status = l[2].parse().expect("a status");
             world.statuses.contains_key(&(id, status))
         }
-        "takeovers" => world.numbers > l[1].parse::<u64>().expect("a count"),
-        "no-takeover" => world.numbers == 1,
+        "takeovers" => world.numbers.len() > l[1].parse::<usize>().expect("a count"),
+        "blocks" => {
+            let keys = world.state.keys.keys();
+            let blocks = keys.filter(|k| k.contains("own/block/")).count();
+            blocks == l[1].parse::<usize>().expect("a count")
+        }
+        "no-takeover" => world.numbers.len() == 1,
         "machines-at-most" => world.workers.len() <= l[1].parse().expect("a count"),
         "rented-at-most" => world.cloud.rigs.len() <= l[1].parse().expect("a count"),
         other => return Err(format!("unknown expectation {other}")),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -14,7 +14,7 @@
 use salttrestle::ids::{JobId, Time};
 use salttrestle::settings::{Platform, Settings, Tuning};
 use salttrestle::wire::{self, ClassInfo, CloudOp, CloudReply, StateOp, StateReply};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What the world knows of a job beside what was submitted.
 #[derive(Clone, Debug)]
@@ -105,7 +105,8 @@
     pub report_ms: u64,
     pub statuses: BTreeMap<(JobId, u16), u32>,
     pub answered: BTreeMap<JobId, u64>,
-    pub numbers: u64,
+    /// The numbers under which blocks were held.
+    pub numbers: BTreeSet<u64>,
     script: Vec<Vec<String>>,
     pub end: u64,
 }
@@ -245,7 +246,7 @@
             report_ms: ms(report),
             statuses: BTreeMap::new(),
             answered: BTreeMap::new(),
-            numbers: 0,
+            numbers: BTreeSet::new(),
             script: Vec::new(),
             end: ms(value("end", 120.0)),
         };
@@ -298,6 +299,7 @@
                 break;
             }
             self.now = at;
+            log::trace!("{at}");
             self.event(ev);
         }
         let now = self.now;
@@ -409,7 +411,7 @@
         let out = core.step(Time(local), input);
         let wake = core.wake_at().0.saturating_sub(local).max(1);
         if let Some(number) = core.holds() {
-            self.numbers = self.numbers.max(number.0);
+            self.numbers.insert(number.0);
         }
         let boot = node.boot;
         let at = self.now + wake;
@@ -442,12 +444,13 @@
                 self.after(6000, Ev::Node(n, boot, none));
                 self.cross(n, Far::Cloud, 50, Ev::Cloud(n, boot, call, op, true));
             }
-            Output::Peer(hello) => {
+            Output::Peer(to, message) => {
                 for m in 0..self.nodes.len() {
                     let other = self.nodes[m].boot;
                     let cut = self.cut(m, Far::Peers).is_some();
-                    if m != n && !cut {
-                        let input = Input::Peer(hello.clone());
+                    let meant = to.as_ref().is_none_or(|t| t.as_str() == self.members[m]);
+                    if m != n && !cut && meant {
+                        let input = Input::Peer(message.clone());
                         self.cross(n, Far::Peers, 2, Ev::Node(m, other, input));
                     }
                 }
