--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -257,12 +257,12 @@
             return;
         }
         let op = CloudOp::Delete(ids.clone());
-        if self.cloud_call(op, CloudPurpose::Delete(ids.clone()), Priority::First) {
-            if let Some(h) = &mut self.holder {
-                for id in &ids {
-                    if let Some(m) = h.machines.get_mut(id) {
-                        m.deleting = true;
-                    }
+        if self.cloud_call(op, CloudPurpose::Delete(ids.clone()), Priority::First)
+            && let Some(h) = &mut self.holder
+        {
+            for id in &ids {
+                if let Some(m) = h.machines.get_mut(id) {
+                    m.deleting = true;
                 }
             }
         }
@@ -525,14 +525,14 @@
             when,
             writes: vec![Write::put(Key::Plan, Record::Plan(plan))],
         };
-        if self.state_call(op, Purpose::Plan, Priority::First).is_ok() {
-            if let Some(lead) = &mut self.lead {
-                lead.scale.plan_busy = true;
-                lead.scale.plan_dirty = false;
-                lead.scale.shares = shares;
-                lead.scale.closed = closed;
-                lead.scale.returns.clear();
-            }
+        if self.state_call(op, Purpose::Plan, Priority::First).is_ok()
+            && let Some(lead) = &mut self.lead
+        {
+            lead.scale.plan_busy = true;
+            lead.scale.plan_dirty = false;
+            lead.scale.shares = shares;
+            lead.scale.closed = closed;
+            lead.scale.returns.clear();
         }
     }
 
@@ -670,7 +670,9 @@
         catalog: &[ClassInfo],
         settings: &Settings,
         closed: &[Closed],
+        now: Time,
     ) -> BTreeMap<Pool, PoolCount> {
+        let lease_s = settings.platform.facts.workers.lease_s;
         let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
         for class in 0..catalog.len() {
             for spot in [false, true] {
@@ -678,7 +680,9 @@
             }
         }
         for m in self.machines.values() {
-            self.count_machine(catalog, m, &mut counts);
+            let quiet = now.since(m.seen.max(self.since)) > lease_s;
+            let silent = m.up.is_some() && m.held.is_none() && quiet && !self.cut;
+            self.count_machine(catalog, m, silent, &mut counts);
         }
         let mut team_left = HashMap::new();
         for id in &self.waiting {
@@ -707,9 +711,10 @@
         &self,
         catalog: &[ClassInfo],
         m: &Machine,
+        silent: bool,
         counts: &mut BTreeMap<Pool, PoolCount>,
     ) {
-        let leaving = m.doomed.is_some() || m.notice.is_some();
+        let leaving = silent || m.doomed.is_some() || m.notice.is_some();
         let Some(class) = catalog.get(m.class).filter(|_| !leaving) else {
             return;
         };
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -141,7 +141,9 @@
         let plan = self.cache.plan.rec.as_ref();
         let closed = plan.map_or(&[][..], |p| &p.closed);
         let named = |class: usize| catalog.get(class).map(|c| c.name.clone());
-        let pools = h.counts(catalog, &self.settings, closed).into_iter();
+        let pools = h
+            .counts(catalog, &self.settings, closed, self.now)
+            .into_iter();
         let pools = pools.filter_map(|((class, spot), c)| Some((named(class)?, spot, c)));
         let mut zones: BTreeMap<(String, bool, String), u32> = BTreeMap::new();
         let mut empty = Vec::new();
@@ -276,10 +278,10 @@
             writes.push(Write::put(Key::Number, Record::Number(rec)));
         }
         let op = StateOp::Commit { when, writes };
-        if self.state_call(op, Purpose::Lease, Priority::First).is_ok() {
-            if let Some(lead) = &mut self.lead {
-                lead.busy = true;
-            }
+        if self.state_call(op, Purpose::Lease, Priority::First).is_ok()
+            && let Some(lead) = &mut self.lead
+        {
+            lead.busy = true;
         }
     }
 
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -76,6 +76,7 @@
     }
 
     pub(crate) fn on_hangup(&mut self, req: ReqId) {
+        self.lost_reports.retain(|l| l.req != req);
         for h in self.parked.values_mut() {
             h.forget_request(req);
         }
@@ -84,7 +85,7 @@
     /// Unhealthy only while a sibling does better: if nobody sees the state service,
     /// taking all nodes away would only slow the return.
     fn on_up(&mut self, req: ReqId) {
-        let reply = if self.blind() && (!self.listed || self.sibling_sighted()) {
+        let reply = if self.blind() && (!self.listed || self.singled_out()) {
             Reply::later(503, 1, "the state service doesn't answer")
         } else {
             Reply::ok(200, Vec::new())
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -158,6 +158,8 @@
     pub(crate) releases: BTreeSet<(Time, MachineId)>,
     pub(crate) gone: BTreeMap<MachineId, Time>,
     pub(crate) heard: Time,
+    /// So many machines are silent that they must be cut off rather than down.
+    pub(crate) cut: bool,
 }
 
 /// Chunks with placements have the urgency of their rank, 0 to 3; this one is that of
@@ -192,6 +194,7 @@
             releases: BTreeSet::new(),
             gone: BTreeMap::new(),
             heard: now,
+            cut: false,
         }
     }
 
@@ -783,12 +786,13 @@
 fn make_ready(now: Time, live: &mut Live, placed: &[(u32, Attempt)]) -> Vec<MachineId> {
     let mut machines = Vec::new();
     for (index, attempt) in placed {
-        if let Some(p) = live.placed.get_mut(index) {
-            if p.attempt == *attempt && p.phase == Phase::Committing {
-                p.phase = Phase::Ready;
-                p.since = now;
-                machines.push(p.machine.clone());
-            }
+        if let Some(p) = live.placed.get_mut(index)
+            && p.attempt == *attempt
+            && p.phase == Phase::Committing
+        {
+            p.phase = Phase::Ready;
+            p.since = now;
+            machines.push(p.machine.clone());
         }
     }
     machines
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -136,6 +136,8 @@
 const FOLLOW_STUCK_S: f64 = 1.5;
 /// A controller has heard workers lately if one reported within this time.
 const HEARD_S: f64 = 3.0;
+/// Siblings say hello every second; one that has missed two is taken to be down.
+const LIVELY_S: f64 = 2.2;
 /// Margin for the time a message takes and for late timers.
 const MARGIN_S: f64 = 2.0;
 /// Steady clocks drift apart by at most this share.
@@ -195,6 +197,8 @@
     catalog_retry: Time,
     siblings: BTreeMap<Member, (Hello, Time)>,
     hello_at: Time,
+    /// Reports that wait until there is somebody to send their workers to.
+    lost_reports: VecDeque<workers::LostReport>,
     tally_at: Time,
     listing: bool,
     list_at: Time,
@@ -241,6 +245,7 @@
             catalog_retry: Time(0),
             siblings: BTreeMap::new(),
             hello_at: Time(0),
+            lost_reports: VecDeque::new(),
             tally_at: Time(0),
             listing: false,
             list_at: Time(0),
@@ -317,6 +322,7 @@
         self.sync_chores();
         self.front_chores();
         self.election_chores();
+        self.steer_lost_reports();
         self.each_block(Self::holder_chores);
         self.catalog_chores();
         self.lead_chores();
@@ -662,6 +668,7 @@
             leader: self.cache.leader.rec.as_ref().map(|l| l.member.clone()),
             blocks: blocks.collect(),
             sighted: !self.blind(),
+            blind_ms: (self.blind_s() * 1000.0) as u64,
             heard: self.now.since(self.worker_heard) < HEARD_S,
         };
         self.out.push(Output::Peer(None, Message::Hello(hello)));
@@ -712,9 +719,20 @@
         Some(newest.unwrap_or(rec.holder.clone())).filter(|holder| holder != me)
     }
 
-    /// Whether a sibling says that it sees the state service.
-    pub(crate) fn sibling_sighted(&self) -> bool {
-        self.lately().any(|h| h.sighted)
+    /// Whether a sibling has seen the state service for clearly longer than this
+    /// controller: the trouble is then here, and not an outage that all share.
+    pub(crate) fn singled_out(&self) -> bool {
+        let behind = |(h, at): &&(Hello, Time)| {
+            let theirs = h.blind_ms as f64 / 1000.0 + self.now.since(*at);
+            theirs + BLIND_S < self.blind_s()
+        };
+        self.siblings.values().any(|s| behind(&s))
+    }
+
+    /// Whether a sibling was heard of so lately that it surely runs.
+    pub(crate) fn lively(&self, member: &Member) -> bool {
+        let heard = self.siblings.get(member).map(|(_, at)| *at);
+        heard.is_some_and(|at| self.now.since(at) < LIVELY_S)
     }
 
     /// Whether workers report to a sibling that could lead.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -58,10 +58,10 @@
                 unplaced.push(id);
             }
         }
-        if round.left == 0 {
-            if let Some(h) = &mut self.holder {
-                h.place_wanted = true;
-            }
+        if round.left == 0
+            && let Some(h) = &mut self.holder
+        {
+            h.place_wanted = true;
         }
         for id in unplaced {
             self.make_room(&id);
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -22,8 +22,13 @@
 /// Without any report for this many report intervals, a holder whose machines all
 /// reported before takes itself to be cut off from them.
 const DEAF_REPORTS: f64 = 5.0;
-/// When most machines are silent, they are given up after this many leases.
-const MASS_SILENT: f64 = 3.0;
+/// Silent machines are a few up to this share; more are taken to be cut off, and are
+/// given up after so many leases.
+const FEW_SHARE: f64 = 0.15;
+const MASS_SILENT: f64 = 4.0;
+/// A machine that never showed this block's number, with tasks on it, is deleted after
+/// this many leases of silence: only that proves them gone.
+const UNPROVABLE: f64 = 1.2;
 /// Seconds a machine of an older leadership has to report before it counts as silent.
 const FIRST_REPORT_S: f64 = 12.0;
 /// Repeated saving halts turn into plain ones after the grace and this long.
@@ -35,10 +40,27 @@
 /// Names of deleted machines are kept for late copies of their reports.
 const GONE_S: f64 = 900.0;
 
+/// A report whose machine's holder is down.
+#[derive(Debug)]
+pub(crate) struct LostReport {
+    pub(crate) req: ReqId,
+    id: MachineId,
+    report: Report,
+    since: Time,
+}
+
+/// How long such a report waits at most, in seconds, and how many do at once.
+const LOST_S: f64 = 3.0;
+const LOST_MAX: usize = 400;
+
 impl Core {
     /// Sends a worker to its block's holder, if it is known.
     pub(crate) fn steer(&mut self, req: ReqId, machine: &MachineId) {
+        // A blind node names nobody that may be dead: it would send its workers back
+        // and forth while their leases run out.
+        let blind = self.blind();
         let holder = self.holder_of(machine);
+        let holder = holder.filter(|h| !blind || self.lively(h));
         self.answer(req, Reply::ok(421, steer_body(holder.as_ref())));
     }
 
@@ -60,11 +82,36 @@
         let whole = |h: &&Holder| h.whole;
         let block = mine.map(|(k, _)| *k);
         let block = block.or_else(|| self.parked.values().find(whole).map(|h| h.block));
-        let Some(block) = block else {
-            self.note_stray(&id, &report);
+        if let Some(block) = block {
+            return self.in_block(block, |core| core.on_block_report(req, &id, report));
+        }
+        self.note_stray(&id, &report);
+        let known = self.holder_of(&id).is_some_and(|h| self.lively(&h));
+        let starting = !self.listed;
+        if known || (self.blind() && !starting) || self.lost_reports.len() >= LOST_MAX {
             return self.steer(req, &id);
+        }
+        let since = self.now;
+        let lost = LostReport {
+            req,
+            id,
+            report,
+            since,
         };
-        self.in_block(block, |core| core.on_block_report(req, &id, report));
+        self.lost_reports.push_back(lost);
+    }
+
+    /// While the holder is down, a worker that is sent there, or on to the next node,
+    /// loses a second each time. Its report waits here until there is a new holder,
+    /// this node or another, and no longer than the worker does.
+    pub(crate) fn steer_lost_reports(&mut self) {
+        for lost in std::mem::take(&mut self.lost_reports) {
+            if self.now.since(lost.since) < LOST_S {
+                self.on_report(lost.req, lost.report);
+            } else {
+                self.steer(lost.req, &lost.id);
+            }
+        }
     }
 
     fn on_block_report(&mut self, req: ReqId, id: &MachineId, report: Report) {
@@ -527,36 +574,41 @@
         }
     }
 
-    /// Machines that have gone silent are replaced before their tasks wait for long.
+    /// Machines that stay silent are deleted. Most come back when a cut is over, with
+    /// their images, so they get time; only where nothing else proves what became of
+    /// their tasks is a deletion needed sooner. Many at once are a cut for sure, unless
+    /// they stay away for long.
     fn check_silent(&mut self) {
-        let w = self.settings.platform.facts.workers.clone();
-        let silent_s = w.lease_s * self.settings.tuning.silent;
+        let w = &self.settings.platform.facts.workers;
+        let (lease_s, silent_s) = (w.lease_s, w.lease_s * self.settings.tuning.silent);
         let (now, blind) = (self.now, self.blind());
         let Some(h) = &mut self.holder else {
             return;
         };
+        let mut up = 0;
         let mut silent = Vec::new();
-        for (id, m) in &h.machines {
+        for (id, m) in h.machines.iter().filter(|(_, m)| m.up.is_some()) {
+            up += 1;
             let quiet = now.since(m.seen.max(h.since));
-            if m.up.is_some() && m.held.is_none() && quiet > silent_s {
-                silent.push(id.clone());
+            if m.held.is_none() && quiet > lease_s {
+                let provable = m.shown || m.tasks.is_empty();
+                let patience = if provable {
+                    silent_s
+                } else {
+                    UNPROVABLE * lease_s
+                };
+                silent.push((id.clone(), quiet, patience));
             }
         }
-        let up = h.machines.values().filter(|m| m.up.is_some()).count();
-        if blind || now.since(h.since) < FIRST_REPORT_S {
+        h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
+        if blind {
             return;
         }
-        // When half of them are silent, the trouble may be a cut: deleting them would
-        // cost the fleet. But they may also all be gone.
-        if silent.len() * 2 > up.max(2) {
-            let since = h.since;
-            silent.retain(|id| {
-                let seen = h.machines.get(id).map_or(now, |m| m.seen.max(since));
-                now.since(seen) > MASS_SILENT * w.lease_s
-            });
-        }
-        for id in silent {
-            h.doom(now, &id, "it is silent");
+        let least = if h.cut { MASS_SILENT * lease_s } else { 0.0 };
+        for (id, quiet, patience) in silent {
+            if quiet > patience.max(least) {
+                h.doom(now, &id, "it is silent");
+            }
         }
     }
 
@@ -677,11 +729,11 @@
 
     /// Decides to delete a machine. Nothing is placed on it from now on.
     pub(crate) fn doom(&mut self, now: Time, id: &MachineId, why: &str) {
-        if let Some(m) = self.machines.get_mut(id) {
-            if m.doomed.is_none() {
-                info!("machine {id} is to be deleted: {why}");
-                m.doomed = Some(now);
-            }
+        if let Some(m) = self.machines.get_mut(id)
+            && m.doomed.is_none()
+        {
+            info!("machine {id} is to be deleted: {why}");
+            m.doomed = Some(now);
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -27,6 +27,8 @@
     pub blocks: Vec<(u32, Number, Member)>,
     /// Whether the state service has answered it lately.
     pub sighted: bool,
+    /// How long ago it last knew all that stood at the state service, in milliseconds.
+    pub blind_ms: u64,
     /// Whether a worker has reported to it lately, wherever it was sent on to.
     pub heard: bool,
 }
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -322,6 +322,7 @@
         leader: None,
         blocks: vec![(0, salttrestle::ids::Number(4), "node-2".into())],
         sighted: true,
+        blind_ms: 40,
         heard: false,
     });
     let framed = peer::frame(&hello);
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -87,13 +87,13 @@
             CloudOp::Delete(ids) => {
                 let mut gone = Vec::new();
                 for id in ids {
-                    if let Some(r) = self.rigs.get_mut(id.as_str()) {
-                        if r.gone.is_none() {
-                            r.gone = Some(now);
-                            gone.push(id.to_string());
-                            let key = (r.class.clone(), r.zone.clone(), r.spot);
-                            *self.capacity.entry(key).or_default() += 1;
-                        }
+                    if let Some(r) = self.rigs.get_mut(id.as_str())
+                        && r.gone.is_none()
+                    {
+                        r.gone = Some(now);
+                        gone.push(id.to_string());
+                        let key = (r.class.clone(), r.zone.clone(), r.spot);
+                        *self.capacity.entry(key).or_default() += 1;
                     }
                 }
                 (CloudReply::Deleted, gone)
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -176,10 +176,10 @@
                     self.oversize.push(format!("{key} has {size} bytes"));
                 }
             }
-            if let Write::Put { hold: Some(id), .. } = w {
-                if !self.grants.contains_key(id) {
-                    return StateReply::NoGrant;
-                }
+            if let Write::Put { hold: Some(id), .. } = w
+                && !self.grants.contains_key(id)
+            {
+                return StateReply::NoGrant;
             }
         }
         let failed: Vec<Key> = when
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -265,13 +265,13 @@
         if let Some(w) = self.workers.get_mut(id) {
             w.flight = Some((req.0, now));
         }
-        if let Some((delay, until)) = self.copies {
-            if now < until {
-                for n in 0..self.nodes.len() {
-                    let copy = self.request(Origin::Nobody);
-                    let ask = Ask::Report(report.clone());
-                    self.send_later(n, delay, Input::Ask(copy, ask));
-                }
+        if let Some((delay, until)) = self.copies
+            && now < until
+        {
+            for n in 0..self.nodes.len() {
+                let copy = self.request(Origin::Nobody);
+                let ask = Ask::Report(report.clone());
+                self.send_later(n, delay, Input::Ask(copy, ask));
             }
         }
         if !cut {
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -495,10 +495,10 @@
 
     pub fn send_later(&mut self, n: usize, delay: u64, input: Input) {
         let boot = self.nodes[n].boot;
-        if let Input::Ask(req, _) = &input {
-            if let Some(o) = self.origins.get_mut(&req.0) {
-                o.1 = n;
-            }
+        if let Input::Ask(req, _) = &input
+            && let Some(o) = self.origins.get_mut(&req.0)
+        {
+            o.1 = n;
         }
         // A late message reaches whichever process is there by then.
         if delay > 1000 {
