--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -590,7 +590,7 @@
         for (id, m) in h.machines.iter().filter(|(_, m)| m.up.is_some()) {
             up += 1;
             let quiet = now.since(m.seen.max(h.since));
-            if m.held.is_none() && quiet > lease_s {
+            if m.held.is_none() && quiet > lease_s * 0.85 {
                 let provable = m.shown || m.tasks.is_empty();
                 let patience = if provable {
                     silent_s
