Empty little used machines whose replicas fit onto fuller ones

A machine used by half or less, all of whose replicas have run for 45 s and fit onto machines in use that have their images, is emptied, one a tick, while nobody waits. Fuller machines by the scarcest resource come first, and batch prefers spot.

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -3,7 +3,7 @@
 //! provisioned, booting machines included.
 
 use super::holder::Machine;
-use super::placement::{free_room, within_limit};
+use super::placement::within_limit;
 use super::records::Closed;
 use super::*;
 use crate::peer::PoolCount;
@@ -727,7 +727,7 @@
         }
         c.busy += 1;
         c.running += m.used.share_of(class.room);
-        let free = free_room(class, m).gpus / class.room.gpus.max(1.0);
+        let free = 1.0 - m.used.share_of(class.room);
         if free >= SPARE_SHARE {
             c.spare += free;
         }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -110,6 +110,8 @@
     pub health: Health,
     /// Since when it has had no task.
     pub empty: Option<Time>,
+    /// When it began to be emptied, so that it can go back.
+    pub closing: Option<Time>,
     /// A start was refused for want of room.
     pub full_until: Time,
 }
@@ -147,6 +149,7 @@
     pub(crate) waiting: BTreeSet<JobId>,
     pub(crate) place_wanted: bool,
     pub(crate) place_at: Time,
+    pub(crate) pack_at: Time,
     /// Chunks to write, by urgency.
     pub(crate) to_flush: BTreeSet<(u8, JobId, u32)>,
     pub(crate) flushing: usize,
@@ -186,6 +189,7 @@
             waiting: BTreeSet::new(),
             place_wanted: true,
             place_at: now,
+            pack_at: now,
             to_flush: BTreeSet::new(),
             flushing: 0,
             to_finish: BTreeSet::new(),
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -11,10 +11,18 @@
 const FRESH_REPORTS: f64 = 3.5;
 /// Weights of a placement's cost, in seconds of a start's delay.
 const SPREAD_COST: f64 = 4.0;
-const FREE_COST: f64 = 1.5;
-const SPOT_GAIN: f64 = 2.0;
+const FREE_COST: f64 = 3.0;
+const SPOT_GAIN: f64 = 8.0;
 /// How long room made by stopping others is waited for before more is made.
 const PREEMPT_S: f64 = 6.0;
+/// A machine used no more than this may be emptied, if its replicas have run for a
+/// while: starts that are stopped soon after don't count for anyone.
+const CLOSE_SHARE: f64 = 0.5;
+const STEADY_S: f64 = 45.0;
+/// Machines looked at each time.
+const CLOSE_TRIES: usize = 6;
+/// A machine that is being emptied gets nothing new for this long.
+const CLOSING_S: f64 = 15.0;
 /// Most tasks placed in one round, so that a swarm doesn't hold up everything else.
 const ROUND_MAX: usize = 64;
 
@@ -149,6 +157,118 @@
     }
 }
 
+/// Moves the replicas of a little used machine to fuller ones that have their images,
+/// so that it empties and goes back: what a fleet that shrinks would otherwise never do.
+impl Core {
+    pub(crate) fn consolidate(&mut self) {
+        let now = self.now;
+        if self.blind() {
+            return;
+        }
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if now < h.pack_at {
+            return;
+        }
+        h.pack_at = now.after(self.settings.tuning.tick_s);
+        // While somebody waits for room, none is given up.
+        let pressed = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.rec.rank > Rank::Normal);
+        if h.cut || h.waiting.iter().any(pressed) {
+            return;
+        }
+        let Some((machine, tasks)) = closable(h, &self.catalog, &self.settings, now) else {
+            return;
+        };
+        log::info!(
+            "machine {machine} is emptied: its {} tasks fit elsewhere",
+            tasks.len()
+        );
+        if let Some(m) = h.machines.get_mut(&machine) {
+            m.closing = Some(now);
+        }
+        for task in tasks {
+            self.halt(&task);
+        }
+    }
+}
+
+/// The least used machine whose tasks all fit onto others that are in use.
+fn closable(
+    h: &Holder,
+    catalog: &[ClassInfo],
+    settings: &Settings,
+    now: Time,
+) -> Option<(MachineId, Vec<TaskId>)> {
+    let mut candidates: Vec<(f64, &MachineId)> = Vec::new();
+    for (id, m) in &h.machines {
+        let Some(class) = catalog.get(m.class) else {
+            continue;
+        };
+        let share = m.used.share_of(class.room);
+        if !m.tasks.is_empty() && share <= CLOSE_SHARE && usable(m, settings, now) {
+            candidates.push((share, id));
+        }
+    }
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let all_fit = |id: &MachineId| {
+        let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.iter().cloned().collect();
+        fits_elsewhere(h, catalog, settings, now, id, &tasks).then_some(tasks)
+    };
+    candidates
+        .into_iter()
+        .take(CLOSE_TRIES)
+        .find_map(|(_, id)| Some((id.clone(), all_fit(id)?)))
+}
+
+fn fits_elsewhere(
+    h: &Holder,
+    catalog: &[ClassInfo],
+    settings: &Settings,
+    now: Time,
+    from: &MachineId,
+    tasks: &[TaskId],
+) -> bool {
+    let mut taken: BTreeMap<&MachineId, Room> = BTreeMap::new();
+    for task in tasks {
+        let Some(live) = h.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(p) = live.placed.get(&task.index) else {
+            return false;
+        };
+        let steady = p.phase == Phase::Running && now.since(p.since) > STEADY_S;
+        if live.rec.form != Form::Service || p.halted.is_some() || !steady {
+            return false;
+        }
+        let mut best: Option<(f64, &MachineId)> = None;
+        for (id, m) in &h.machines {
+            let Some(class) = catalog.get(m.class) else {
+                continue;
+            };
+            let mut free = free_room(class, m);
+            free.add(taken.get(id).copied().unwrap_or_default(), -1.0);
+            // The task itself still stands in its zone's count: a strict reading that
+            // only ever keeps it where it is.
+            let good = id != from
+                && !m.tasks.is_empty()
+                && free.holds(live.rec.need)
+                && m.has_image(&live.rec.image)
+                && usable(m, settings, now)
+                && allowed(live, class, m);
+            let left = free.share_of(class.room);
+            if good && best.is_none_or(|(least, _)| left < least) {
+                best = Some((left, id));
+            }
+        }
+        let Some((_, id)) = best else {
+            return false;
+        };
+        taken.entry(id).or_default().add(live.rec.need, 1.0);
+    }
+    true
+}
+
 struct Round {
     left: usize,
     /// Demands that found no machine: others like them won't either.
@@ -240,6 +360,7 @@
         && m.session > 0
         && (m.held.is_some() || now.since(m.seen) < quiet)
         && now >= m.full_until
+        && m.closing.is_none_or(|at| now.since(at) > CLOSING_S)
         && m.health.rested(now)
 }
 
@@ -267,7 +388,7 @@
         if !free.holds(live.rec.need) || !usable(m, settings, now) || !allowed(live, class, m) {
             continue;
         }
-        let cost = cost(h, live, class, m, free);
+        let cost = cost(h, live, class, m);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, name));
         }
@@ -275,9 +396,9 @@
     best.map(|(_, name)| name.clone())
 }
 
-fn cost(h: &Holder, live: &Live, class: &ClassInfo, m: &Machine, free: Room) -> f64 {
+fn cost(h: &Holder, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
     let rec = &live.rec;
-    let free_share = free.gpus / class.room.gpus.max(1.0);
+    let free_share = 1.0 - m.used.share_of(class.room);
     let mut cost = fetch_s(h, rec, class, m) + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -501,6 +501,7 @@
         self.check_cancels();
         self.check_silent();
         self.drain();
+        self.consolidate();
         self.doom_unborn();
         self.delete_doomed();
         let now = self.now;
@@ -702,6 +703,7 @@
             images: Vec::new(),
             health: Health::default(),
             empty: Some(now),
+            closing: None,
             full_until: Time(0),
         }
     }
