Keep a parted zone's workers alive; rent where scattered tasks may still go

The holder now commits a permission into the block's record, under which the other controllers answer that zone's workers without starts; the argument stands at check_cut_zones. Found by zone_parted_and_more: replicas that scatter keeps out of one zone waited for ever when free machines stood there, since those counted as provisioned. New scenarios: zone_parted (no task is lost), zone_parted_and_more.

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -3,7 +3,7 @@
 //! provisioned, booting machines included.
 
 use super::holder::Machine;
-use super::placement::within_limit;
+use super::placement::{within_limit, zone_allowed};
 use super::records::Closed;
 use super::*;
 use crate::peer::PoolCount;
@@ -331,10 +331,20 @@
             let ceiling = (self.settings.tuning.ceiling as u32).saturating_sub(provisioned);
             let rise = (self.settings.tuning.rise as u32).min(RENT_MAX);
             let asked = sums.asked.get(&pool).copied().unwrap_or(0);
+            // A machine in the wrong zone is no help to tasks that may not go there.
+            let pins = sums.pins.iter().filter(|((p, _), _)| *p == pool);
+            let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
+            let gap = gap.max(pins.values().sum());
             let gap = gap.min(ceiling).saturating_sub(asked).min(rise);
             if gap > 0 {
-                lead.scale
-                    .rent(&self.catalog, pool, gap, &sums.zones, lead.number, now);
+                lead.scale.rent(
+                    &self.catalog,
+                    pool,
+                    gap,
+                    (&sums.zones, &pins),
+                    lead.number,
+                    now,
+                );
             }
             // A new leader hasn't seen how high the count stood before its time.
             if now.since(ready) < window_s {
@@ -366,6 +376,12 @@
                     *sums.zones.entry(key).or_default() += n;
                 }
             }
+            for (name, spot, zone, n) in &t.pins {
+                if let Some(class) = class(name) {
+                    let key = ((class, *spot), zone.clone());
+                    *sums.pins.entry(key).or_default() += n;
+                }
+            }
             for (name, spot, id) in &t.empty {
                 if let Some(class) = class(name) {
                     let pool = sums.empty.entry((class, *spot)).or_default();
@@ -568,6 +584,7 @@
 struct Sums {
     counts: BTreeMap<Pool, BTreeMap<u32, PoolCount>>,
     zones: Zones,
+    pins: Zones,
     empty: BTreeMap<Pool, Vec<MachineId>>,
     /// Machines asked for, without an answer yet.
     asked: BTreeMap<Pool, u32>,
@@ -707,6 +724,46 @@
         counts
     }
 
+    /// Machines lacking in particular zones: for tasks that may not go elsewhere, by
+    /// their job's zone, by its other tasks' zone, or because the other zones hold as
+    /// many of its tasks as they may.
+    pub(crate) fn pins(&self, catalog: &[ClassInfo], closed: &[Closed]) -> Zones {
+        let mut pins = Zones::new();
+        let mut ahead: BTreeMap<(Pool, &str), u32> = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.tasks.is_empty() && m.doomed.is_none() && m.notice.is_none() {
+                *ahead.entry(((m.class, m.spot), &*m.zone)).or_default() += 1;
+            }
+        }
+        for live in self.waiting.iter().filter_map(|id| self.jobs.get(id)) {
+            let Some(pool) = pool_for(catalog, &live.rec, closed) else {
+                continue;
+            };
+            let class = &catalog[pool.0];
+            let zones = class.zones.iter().filter(|z| zone_allowed(live, z));
+            let zones: Vec<&String> = zones.collect();
+            if zones.is_empty() || zones.len() == class.zones.len() || live.fails >= HOPELESS {
+                continue;
+            }
+            let per = per_machine(class, live.rec.need);
+            let mut need = (f64::from(live.queued()) / per).ceil() as u32;
+            for zone in &zones {
+                let have = ahead.entry((pool, zone.as_str())).or_default();
+                let taken = need.min(*have);
+                *have -= taken;
+                need -= taken;
+            }
+            let shut = |z: &str| {
+                let same = |c: &Closed| c.0 == class.name && c.1 == z && c.2 == pool.1;
+                closed.iter().any(same)
+            };
+            if let Some(zone) = zones.iter().find(|z| !shut(z)).filter(|_| need > 0) {
+                *pins.entry((pool, zone.to_string())).or_default() += need;
+            }
+        }
+        pins
+    }
+
     fn count_machine(
         &self,
         catalog: &[ClassInfo],
@@ -833,7 +890,7 @@
         catalog: &[ClassInfo],
         pool: Pool,
         gap: u32,
-        there: &Zones,
+        (there, pins): (&Zones, &BTreeMap<&String, u32>),
         term: Number,
         now: Time,
     ) {
@@ -845,7 +902,12 @@
                 zones.push((have, zone, 0));
             }
         }
-        for _ in 0..gap {
+        let mut left = gap;
+        for (_, zone, new) in &mut zones {
+            *new = pins.get(*zone).copied().unwrap_or(0).min(left);
+            left -= *new;
+        }
+        for _ in 0..left {
             let Some(least) = zones.iter_mut().min_by_key(|(have, _, new)| have + new) else {
                 return;
             };
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -78,6 +78,7 @@
             holder: self.settings.platform.member.clone(),
             boot: self.boot,
             number,
+            vouch: Vec::new(),
             machines: old.as_ref().and_then(|b| b.machines.clone()),
             allowances: old.and_then(|b| b.allowances),
         };
@@ -155,6 +156,8 @@
                 empty.push((m.images.len(), (name, m.spot, id.clone())));
             }
         }
+        let pins = h.pins(catalog, closed).into_iter();
+        let pins = pins.filter_map(|((pool, zone), n)| Some((named(pool.0)?, pool.1, zone, n)));
         // Those with the fewest images are missed least.
         empty.sort();
         let empty = empty.into_iter().map(|(_, e)| e).take(NAMES_MAX);
@@ -166,6 +169,7 @@
             mark: h.block_mark,
             pools: pools.collect(),
             zones: zones.collect(),
+            pins: pins.collect(),
             empty: empty.collect(),
             gone: h.gone.keys().rev().take(NAMES_MAX).cloned().collect(),
             teams: h.team_counts(),
@@ -320,6 +324,7 @@
             *load.entry(member.clone()).or_default() += 1;
             highest.0 += 1;
             (rec.holder, rec.boot, rec.number) = (member, boot, *highest);
+            rec.vouch.clear();
         }
     }
 
@@ -372,6 +377,7 @@
             holder,
             boot,
             number: *highest,
+            vouch: Vec::new(),
             machines: Some(Vec::new()),
             allowances: Some(BTreeMap::new()),
         };
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -139,6 +139,9 @@
     pub since: Time,
     /// Whether it is the only block, with every machine there is in it.
     pub whole: bool,
+    /// Zones whose workers others may keep alive meanwhile.
+    pub(crate) vouch: Vec<String>,
+    pub(crate) vouch_busy: bool,
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
@@ -181,6 +184,8 @@
             block_mark: 0,
             since: now,
             whole: true,
+            vouch: Vec::new(),
+            vouch_busy: false,
             allowances: None,
             count: 0,
             jobs: BTreeMap::new(),
@@ -215,6 +220,14 @@
     /// Takes over what the block's record says besides who holds it.
     pub(crate) fn sync(&mut self, now: Time, mark: u64, rec: &BlockRec, catalog: &[ClassInfo]) {
         self.block_mark = mark;
+        // Others may have answered for these workers until they learnt of the change,
+        // so their leases count from then at the earliest.
+        for zone in self.vouch.iter().filter(|z| !rec.vouch.contains(z)) {
+            for m in self.machines.values_mut().filter(|m| *m.zone == **zone) {
+                m.answered = m.answered.max(now.after(BLIND_S));
+            }
+        }
+        self.vouch = rec.vouch.clone();
         self.whole = rec.machines.is_none();
         self.allowances = rec.allowances.clone();
         self.place_wanted = true;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -111,6 +111,7 @@
     Cleanup(Vec<(JobId, u32)>),
     Plan,
     Lease,
+    Vouch,
 }
 
 pub(crate) struct Call {
@@ -465,6 +466,7 @@
                 Purpose::Reread(job, chunk) => core.on_reread(job, chunk, reply),
                 Purpose::Finish(job) => core.on_finished(job, reply),
                 Purpose::Cleanup(list) => core.on_cleaned(list, reply),
+                Purpose::Vouch => core.on_vouch_written(),
                 _ => {}
             }
         });
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -334,16 +334,22 @@
     if rec.types.as_ref().is_some_and(|t| !t.contains(&class.name)) {
         return false;
     }
-    if rec.zone.as_ref().is_some_and(|z| **z != *m.zone) {
+    zone_allowed(live, &m.zone)
+}
+
+/// Whether a zone may take this job's next task.
+pub(crate) fn zone_allowed(live: &Live, zone: &str) -> bool {
+    let rec = &live.rec;
+    if rec.zone.as_ref().is_some_and(|z| z != zone) {
         return false;
     }
     // Tasks in doubt count: they may be there.
-    if rec.one_zone && live.placed.values().any(|p| p.zone != m.zone) {
+    if rec.one_zone && live.placed.values().any(|p| *p.zone != *zone) {
         return false;
     }
     if rec.scatter {
         let most = rec.count.div_ceil(2) as usize;
-        let there = live.placed.values().filter(|p| p.zone == m.zone).count();
+        let there = live.placed.values().filter(|p| *p.zone == *zone).count();
         if there >= most {
             return false;
         }
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -19,6 +19,7 @@
 /// After `cancel_s` times this, a machine that may still run a withdrawn task is
 /// deleted; the rest of the time is for the cloud to answer.
 const CANCEL_SHARE: f64 = 0.6;
+const VOUCHED_SHARE: f64 = 0.85;
 /// Without any report for this many report intervals, a holder whose machines all
 /// reported before takes itself to be cut off from them.
 const DEAF_REPORTS: f64 = 5.0;
@@ -26,6 +27,12 @@
 /// given up after so many leases.
 const FEW_SHARE: f64 = 0.15;
 const MASS_SILENT: f64 = 4.0;
+const VOUCHED_SILENT: f64 = 9.0;
+/// A zone is taken to be cut off when this share of its machines, and at least so
+/// many, have missed so many reports.
+const CUT_SHARE: f64 = 0.5;
+const CUT_LEAST: usize = 3;
+const CUT_REPORTS: f64 = 3.0;
 /// A machine that never showed this block's number, with tasks on it, is deleted after
 /// this many leases of silence: only that proves them gone.
 const UNPROVABLE: f64 = 1.2;
@@ -86,6 +93,9 @@
             return self.in_block(block, |core| core.on_block_report(req, &id, report));
         }
         self.note_stray(&id, &report);
+        if let Some(reply) = self.vouch(&id, &report) {
+            return self.answer(req, reply);
+        }
         let known = self.holder_of(&id).is_some_and(|h| self.lively(&h));
         let starting = !self.listed;
         if known || (self.blind() && !starting) || self.lost_reports.len() >= LOST_MAX {
@@ -500,6 +510,7 @@
         self.check_leases();
         self.check_cancels();
         self.check_silent();
+        self.check_cut_zones();
         self.drain();
         self.consolidate();
         self.doom_unborn();
@@ -538,7 +549,9 @@
         for (id, m) in &h.machines {
             let over = m.answered.after(lease);
             // The read was sent after the lease's end, and the block is still ours.
-            if m.shown && m.held.is_none() && !m.tasks.is_empty() && fresh > over && now > over {
+            let vouched = h.vouch.iter().any(|z| **z == *m.zone);
+            let known = m.shown && m.held.is_none() && !vouched;
+            if known && !m.tasks.is_empty() && fresh > over && now > over {
                 lost.push((id.clone(), m.tasks.iter().cloned().collect::<Vec<_>>()));
             }
         }
@@ -559,15 +572,24 @@
 
     /// Deletes machines that may still run a withdrawn task when its time runs out.
     fn check_cancels(&mut self) {
-        let bound = self.settings.platform.facts.workers.cancel_s * CANCEL_SHARE;
+        let cancel_s = self.settings.platform.facts.workers.cancel_s;
         let now = self.now;
         let Some(h) = &mut self.holder else {
             return;
         };
         let mut late = BTreeSet::new();
         for live in h.jobs.values() {
-            if live.withdrawn.is_some_and(|at| now.since(at) > bound) {
-                late.extend(live.placed.values().map(|p| p.machine.clone()));
+            let Some(at) = live.withdrawn else {
+                continue;
+            };
+            for p in live.placed.values() {
+                // Whoever keeps a worker alive halts such tasks; time is given for
+                // the cut to end before the machine is lost for the proof alone.
+                let vouched = h.vouch.iter().any(|z| **z == *p.zone);
+                let share = if vouched { VOUCHED_SHARE } else { CANCEL_SHARE };
+                if now.since(at) > cancel_s * share {
+                    late.insert(p.machine.clone());
+                }
             }
         }
         for id in late {
@@ -601,11 +623,16 @@
                 silent.push((id.clone(), quiet, patience));
             }
         }
+        let vouched = !h.vouch.is_empty();
         h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
         if blind {
             return;
         }
-        let least = if h.cut { MASS_SILENT * lease_s } else { 0.0 };
+        let least = match (h.cut, vouched) {
+            (false, _) => 0.0,
+            (true, false) => MASS_SILENT * lease_s,
+            (true, true) => VOUCHED_SILENT * lease_s,
+        };
         for (id, quiet, patience) in silent {
             if quiet > patience.max(least) {
                 h.doom(now, &id, "it is silent");
@@ -613,6 +640,102 @@
         }
     }
 
+    /// Lets the other controllers keep the workers of a zone alive that can't reach
+    /// this holder, and takes that back when they report again.
+    ///
+    /// Why it is safe: others answer without starts, only under this number, only with
+    /// sight of the state service and of this permission, and halt what is cancelled.
+    /// While it stands, no lease of that zone proves a task gone; afterwards leases
+    /// count from when the last of them must have learnt that it is over.
+    fn check_cut_zones(&mut self) {
+        let w = &self.settings.platform.facts.workers;
+        let (now, quiet_s) = (self.now, w.report_s * CUT_REPORTS);
+        let blind = self.blind();
+        let key = match &self.holder {
+            Some(h) if !h.vouch_busy && !blind => Key::Block(h.block),
+            _ => return,
+        };
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in h.machines.values().filter(|m| m.session > 0) {
+            let count = zones.entry(&m.zone).or_default();
+            count.0 += 1;
+            let quiet = m.held.is_none() && now.since(m.seen) > quiet_s;
+            count.1 += usize::from(quiet);
+        }
+        let cut = |(all, quiet): (usize, usize)| {
+            quiet >= CUT_LEAST && quiet as f64 >= CUT_SHARE * all as f64
+        };
+        let cut_off = zones.iter().filter(|(_, count)| cut(**count));
+        let cut_off: Vec<String> = cut_off.map(|(zone, _)| zone.to_string()).collect();
+        let slot = match &key {
+            Key::Block(block) => self.cache.blocks.get(block).cloned(),
+            _ => None,
+        };
+        let Some(slot) = slot.filter(|s| s.mark == h.block_mark && h.vouch != cut_off) else {
+            return;
+        };
+        let Some(mut rec) = slot.rec else {
+            return;
+        };
+        info!("zones that can't reach this holder: {cut_off:?}");
+        rec.vouch = cut_off;
+        h.vouch_busy = true;
+        let op = StateOp::Commit {
+            when: vec![(key.clone(), slot.mark)],
+            writes: vec![Write::put(key, Record::Block(rec))],
+        };
+        if self
+            .state_call(op, Purpose::Vouch, Priority::First)
+            .is_err()
+        {
+            self.on_vouch_written();
+        }
+    }
+
+    /// Whatever the answer is, the follow brings the record as it stands.
+    pub(crate) fn on_vouch_written(&mut self) {
+        if let Some(h) = &mut self.holder {
+            h.vouch_busy = false;
+        }
+    }
+
+    /// The answer that keeps a worker alive for a holder that it can't reach: without
+    /// starts, but with halts for what is cancelled or over. `None` where that isn't
+    /// allowed, or the holder can be reached after all.
+    fn vouch(&self, id: &MachineId, report: &Report) -> Option<Reply> {
+        if self.blind() {
+            return None;
+        }
+        let recs = self.cache.blocks.values().filter_map(|b| b.rec.as_ref());
+        let lists = |b: &&BlockRec| {
+            let list = b.machines.as_ref();
+            list.is_none_or(|list| list.iter().any(|e| e.0 == *id))
+        };
+        let rec = { recs }.find(lists)?;
+        let allowed = rec.vouch.contains(&report.zone) && report.number <= rec.number.0;
+        if !allowed || self.lively(&rec.holder) {
+            return None;
+        }
+        let over = |task: &TaskId| {
+            let job = self.cache.jobs.get(&task.job);
+            job.is_none_or(|j| j.withdrawn.is_some())
+        };
+        let halts = report.tasks.iter().filter_map(|t| {
+            let task = TaskId::parse(&t.task)?;
+            let runs = t.stance != TaskStance::Ended;
+            (runs && over(&task)).then(|| Command::Halt {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+        });
+        let halts: Vec<Command> = halts.collect();
+        Some(Reply::ok(200, commands_body(rec.number, &halts)))
+    }
+
     /// Tasks on machines that are about to go are stopped: at once where they can
     /// save, and on machines to be replaced.
     fn drain(&mut self) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -45,6 +45,8 @@
     pub pools: Vec<(String, bool, PoolCount)>,
     /// Machines by type, kind and zone.
     pub zones: Vec<(String, bool, String, u32)>,
+    /// Machines lacking in a particular zone, where tasks may go nowhere else.
+    pub pins: Vec<(String, bool, String, u32)>,
     /// Empty machines, those that are missed least first.
     pub empty: Vec<(String, bool, MachineId)>,
     /// Machines deleted lately.
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -139,6 +139,7 @@
             w.flight = None;
             w.next_at = now + 500;
             w.changed = true;
+            self.killed += tasks.len();
             for t in tasks {
                 self.checker.stops(&t, id);
             }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -66,6 +66,8 @@
     node: Option<usize>,
     far: Far,
     hold: bool,
+    /// Only the workers of this zone.
+    zone: Option<String>,
 }
 
 pub struct Node {
@@ -109,6 +111,8 @@
     pub numbers: BTreeSet<u64>,
     script: Vec<Vec<String>>,
     pub end: u64,
+    /// Tasks killed because a lease ran out.
+    pub killed: usize,
 }
 
 type Args<'a> = &'a [String];
@@ -249,6 +253,7 @@
             numbers: BTreeSet::new(),
             script: Vec::new(),
             end: ms(value("end", 120.0)),
+            killed: 0,
         };
         for l in many("machines") {
             for _ in 0..l[2].parse::<u32>().expect("a number") {
@@ -458,6 +463,14 @@
         }
     }
 
+    /// Whether a worker and a node can't reach each other.
+    fn parted(&self, n: usize, id: &str) -> bool {
+        let zone = self.workers.get(id).map(|w| &w.zone);
+        let cuts = self.cuts.iter().filter(|c| c.far == Far::Workers);
+        let mut cuts = cuts.filter(|c| c.node.is_none_or(|x| x == n));
+        cuts.any(|c| c.zone.is_none() || c.zone.as_ref() == zone)
+    }
+
     fn cut(&self, n: usize, far: Far) -> Option<&Cut> {
         self.cuts
             .iter()
@@ -510,7 +523,7 @@
     }
 
     pub fn worker_to_node(&mut self, id: &str, n: usize, input: Input) {
-        if self.cut(n, Far::Workers).is_some() {
+        if self.parted(n, id) {
             return;
         }
         if self.nodes[n].core.is_none() {
@@ -524,8 +537,9 @@
 
     fn node_answers(&mut self, n: usize, req: u64, reply: Reply) {
         self.nodes[n].requests.retain(|r| *r != req);
-        let to_worker = matches!(self.origins.get(&req), Some((Origin::Worker(_), _)));
-        if to_worker && self.cut(n, Far::Workers).is_some() {
+        if let Some((Origin::Worker(id), _)) = self.origins.get(&req)
+            && self.parted(n, id)
+        {
             return;
         }
         self.deliver(req, Some(reply));
@@ -714,6 +728,20 @@
                 let n = args[2].parse().expect("a count");
                 self.cloud.capacity.insert(key, n);
             }
+            "part" => {
+                for n in arg(args, "from").expect("from=").split(',') {
+                    self.seq += 1;
+                    let id = self.seq;
+                    self.cuts.push(Cut {
+                        id,
+                        node: Some(self.node_arg(n)),
+                        far: Far::Workers,
+                        hold: false,
+                        zone: Some(args[0].clone()),
+                    });
+                    self.at(until, Ev::Heal(id));
+                }
+            }
             "machine" => {
                 for id in self.machine_arg(&args[0]) {
                     self.hurt(&id, args, until);
@@ -752,6 +780,7 @@
                 node: Some(n),
                 far,
                 hold,
+                zone: None,
             });
             self.at(until, Ev::Heal(id));
         }
