Let spare machines run dry, and give machines time after a cut ends

Machines whose work would fit into the others' free room, with headroom kept, get nothing new while there is another place; replicas move as before.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -110,8 +110,8 @@
     pub health: Health,
     /// Since when it has had no task.
     pub empty: Option<Time>,
-    /// When it began to be emptied, so that it can go back.
-    pub closing: Option<Time>,
+    /// Its work would fit elsewhere: it gets nothing new while there is another place.
+    pub closing: bool,
     /// A start was refused for want of room.
     pub full_until: Time,
 }
@@ -166,6 +166,8 @@
     pub(crate) heard: Time,
     /// So many machines are silent that they must be cut off rather than down.
     pub(crate) cut: bool,
+    /// When that was last so. Machines get time from then to come back.
+    pub(crate) cut_at: Time,
 }
 
 /// Chunks with placements have the urgency of their rank, 0 to 3; this one is that of
@@ -204,6 +206,7 @@
             gone: BTreeMap::new(),
             heard: now,
             cut: false,
+            cut_at: now,
         }
     }
 
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -3,6 +3,7 @@
 use super::holder::{Live, Machine, Phase, Placement};
 use super::*;
 use log::debug;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Shortest pause between two rounds of placing.
@@ -13,16 +14,13 @@
 const SPREAD_COST: f64 = 4.0;
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
+const CLOSING_COST: f64 = 30.0;
 /// How long room made by stopping others is waited for before more is made.
 const PREEMPT_S: f64 = 6.0;
 /// A machine used no more than this may be emptied, if its replicas have run for a
 /// while: starts that are stopped soon after don't count for anyone.
 const CLOSE_SHARE: f64 = 0.5;
 const STEADY_S: f64 = 45.0;
-/// Machines looked at each time.
-const CLOSE_TRIES: usize = 6;
-/// A machine that is being emptied gets nothing new for this long.
-const CLOSING_S: f64 = 15.0;
 /// Most tasks placed in one round, so that a swarm doesn't hold up everything else.
 const ROUND_MAX: usize = 64;
 
@@ -165,6 +163,7 @@
         if self.blind() {
             return;
         }
+        let headroom = self.settings.tuning.headroom;
         let Some(h) = &mut self.holder else {
             return;
         };
@@ -174,51 +173,63 @@
         h.pack_at = now.after(self.settings.tuning.tick_s);
         // While somebody waits for room, none is given up.
         let pressed = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.rec.rank > Rank::Normal);
-        if h.cut || h.waiting.iter().any(pressed) {
-            return;
+        let open = !h.cut && !h.waiting.iter().any(pressed);
+        let spare = if open {
+            spare_machines(h, &self.catalog, headroom)
+        } else {
+            BTreeSet::new()
+        };
+        for (id, m) in &mut h.machines {
+            m.closing = spare.contains(id);
         }
-        let Some((machine, tasks)) = closable(h, &self.catalog, &self.settings, now) else {
+        let all_fit = |id: &MachineId| {
+            let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.iter().cloned().collect();
+            fits_elsewhere(h, &self.catalog, &self.settings, now, id, &tasks).then_some(tasks)
+        };
+        let movable = spare.iter().find_map(|id| Some((id.clone(), all_fit(id)?)));
+        let Some((machine, tasks)) = movable.filter(|(_, tasks)| !tasks.is_empty()) else {
             return;
         };
         log::info!(
             "machine {machine} is emptied: its {} tasks fit elsewhere",
             tasks.len()
         );
-        if let Some(m) = h.machines.get_mut(&machine) {
-            m.closing = Some(now);
-        }
         for task in tasks {
             self.halt(&task);
         }
     }
 }
 
-/// The least used machine whose tasks all fit onto others that are in use.
-fn closable(
-    h: &Holder,
-    catalog: &[ClassInfo],
-    settings: &Settings,
-    now: Time,
-) -> Option<(MachineId, Vec<TaskId>)> {
-    let mut candidates: Vec<(f64, &MachineId)> = Vec::new();
+/// The least used machines of each pool whose work would fit into the room that is
+/// free on the others, with the room for urgent starts kept. They get nothing new
+/// while there is another place for it; their batch tasks end by themselves.
+fn spare_machines(h: &Holder, catalog: &[ClassInfo], headroom: f64) -> BTreeSet<MachineId> {
+    let mut pools: BTreeMap<(usize, bool), Vec<(f64, &MachineId)>> = BTreeMap::new();
     for (id, m) in &h.machines {
-        let Some(class) = catalog.get(m.class) else {
-            continue;
-        };
-        let share = m.used.share_of(class.room);
-        if !m.tasks.is_empty() && share <= CLOSE_SHARE && usable(m, settings, now) {
-            candidates.push((share, id));
+        let here = m.up.is_some() && m.doomed.is_none() && m.notice.is_none();
+        if let Some(class) = catalog.get(m.class).filter(|_| here && !m.tasks.is_empty()) {
+            let share = m.used.share_of(class.room);
+            pools
+                .entry((m.class, m.spot))
+                .or_default()
+                .push((share, id));
         }
     }
-    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let all_fit = |id: &MachineId| {
-        let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.iter().cloned().collect();
-        fits_elsewhere(h, catalog, settings, now, id, &tasks).then_some(tasks)
-    };
-    candidates
-        .into_iter()
-        .take(CLOSE_TRIES)
-        .find_map(|(_, id)| Some((id.clone(), all_fit(id)?)))
+    let mut spare = BTreeSet::new();
+    for mut machines in pools.into_values() {
+        machines.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let keep = (machines.len() as f64 * headroom).max(1.0);
+        let mut free: f64 = machines.iter().map(|(share, _)| 1.0 - share).sum();
+        for (share, id) in machines {
+            // Its own room goes, and its work needs room on the others.
+            free -= 1.0;
+            if share > CLOSE_SHARE || free < keep {
+                break;
+            }
+            spare.insert(id.clone());
+        }
+    }
+    spare
 }
 
 fn fits_elsewhere(
@@ -252,6 +263,7 @@
             // only ever keeps it where it is.
             let good = id != from
                 && !m.tasks.is_empty()
+                && !m.closing
                 && free.holds(live.rec.need)
                 && m.has_image(&live.rec.image)
                 && usable(m, settings, now)
@@ -366,7 +378,6 @@
         && m.session > 0
         && (m.held.is_some() || now.since(m.seen) < quiet)
         && now >= m.full_until
-        && m.closing.is_none_or(|at| now.since(at) > CLOSING_S)
         && m.health.rested(now)
 }
 
@@ -417,6 +428,9 @@
     if m.spot {
         cost -= SPOT_GAIN;
     }
+    if m.closing {
+        cost += CLOSING_COST;
+    }
     cost
 }
 
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -624,6 +624,10 @@
             }
         }
         let vouched = !h.vouch.is_empty();
+        let calm = h.cut_at;
+        if h.cut || vouched {
+            h.cut_at = now;
+        }
         h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
         if blind {
             return;
@@ -634,7 +638,9 @@
             (true, true) => VOUCHED_SILENT * lease_s,
         };
         for (id, quiet, patience) in silent {
-            if quiet > patience.max(least) {
+            // When a cut ends, those who come back last aren't taken for dead.
+            let late = h.cut || now.since(calm) > patience;
+            if quiet > patience.max(least) && late {
                 h.doom(now, &id, "it is silent");
             }
         }
@@ -826,7 +832,7 @@
             images: Vec::new(),
             health: Health::default(),
             empty: Some(now),
-            closing: None,
+            closing: false,
             full_until: Time(0),
         }
     }
