--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -8,7 +8,7 @@
 use super::*;
 use crate::peer::PoolCount;
 use crate::settings::Tuning;
-use log::{info, warn};
+use log::{debug, info, warn};
 use std::collections::VecDeque;
 
 /// A machine type's index in the catalogue, and whether it is spot.
@@ -321,6 +321,7 @@
             let (mut wanted, mut gap, mut provisioned) = (0, 0, 0);
             for (block, count) in &blocks {
                 let w = count.wanted(&self.settings.tuning);
+                debug!("pool {pool:?} of block {block}: {count:?}, wanted {w}");
                 let need = w.saturating_sub(count.provisioned);
                 (wanted, gap, provisioned) =
                     (wanted + w, gap + need, provisioned + count.provisioned);
