Batch leaves the room kept for urgent starts alone; pauses end by themselves

Batch that may use spot waits for a spot machine instead, for 90 s at most, so that it isn't starved where there is none.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -8,6 +8,8 @@
 
 /// Shortest pause between two rounds of placing.
 const PLACE_GAP_MS: u64 = 15;
+/// Queued tasks are looked at least this often.
+const PLACE_EVERY_S: f64 = 0.5;
 /// A machine that hasn't reported for this many report intervals gets no tasks.
 const FRESH_REPORTS: f64 = 3.5;
 /// Weights of a placement's cost, in seconds of a start's delay.
@@ -15,6 +17,9 @@
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
 const CLOSING_COST: f64 = 30.0;
+/// Batch work leaves the room kept for urgent starts alone for this long, in which a
+/// spot machine should have come up. Where none is to be had it mustn't wait for ever.
+const KEPT_S: f64 = 90.0;
 /// How long room made by stopping others is waited for before more is made.
 const PREEMPT_S: f64 = 6.0;
 /// A machine used no more than this may be emptied, if its replicas have run for a
@@ -34,7 +39,9 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        if !h.place_wanted || blind || self.catalog.is_empty() || now < h.place_at {
+        // Pauses of failing jobs, of machines and of batch work end without any event.
+        let due = now.since(h.place_at) > PLACE_EVERY_S && !h.waiting.is_empty();
+        if !(h.place_wanted || due) || blind || self.catalog.is_empty() || now < h.place_at {
             return;
         }
         h.place_at = Time(now.0 + PLACE_GAP_MS);
@@ -55,6 +62,7 @@
         }
         turns.sort();
         let mut round = Round {
+            full: full_pools(h, &self.catalog, self.settings.tuning.headroom),
             left: ROUND_MAX,
             failed: Vec::new(),
         };
@@ -93,7 +101,7 @@
             let Some(index) = h.jobs.get_mut(id).and_then(Live::next_queued) else {
                 return false;
             };
-            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id) else {
+            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id, &round.full) else {
                 if !rec.one_zone && !rec.scatter {
                     round.failed.push(rec);
                 }
@@ -281,7 +289,26 @@
     true
 }
 
+/// The types whose ordinary machines have no more room than is kept for urgent starts.
+/// Work that may use spot machines waits for one rather than take that room.
+fn full_pools(h: &Holder, catalog: &[ClassInfo], headroom: f64) -> Vec<usize> {
+    let mut pools = vec![(0.0, 0.0); catalog.len()];
+    for m in h
+        .machines
+        .values()
+        .filter(|m| m.up.is_some() && m.doomed.is_none() && !m.spot)
+    {
+        if let Some(class) = catalog.get(m.class) {
+            pools[m.class].0 += 1.0;
+            pools[m.class].1 += 1.0 - m.used.share_of(class.room);
+        }
+    }
+    let full = |(n, free): (f64, f64)| free < (n * headroom).max(1.0);
+    (0..catalog.len()).filter(|c| full(pools[*c])).collect()
+}
+
 struct Round {
+    full: Vec<usize>,
     left: usize,
     /// Demands that found no machine: others like them won't either.
     failed: Vec<Rc<JobRec>>,
@@ -394,6 +421,7 @@
     settings: &Settings,
     now: Time,
     id: &JobId,
+    full: &[usize],
 ) -> Option<MachineId> {
     let live = h.jobs.get(id)?;
     let mut best: Option<(f64, &MachineId)> = None;
@@ -405,6 +433,11 @@
         if !free.holds(live.rec.need) || !usable(m, settings, now) || !allowed(live, class, m) {
             continue;
         }
+        let young = now.since(live.since) < KEPT_S;
+        let waits = young && live.rec.spot && live.rec.rank <= Rank::Normal;
+        if waits && !m.spot && full.contains(&m.class) {
+            continue;
+        }
         let cost = cost(h, live, class, m);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, name));
