--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -244,6 +244,11 @@
     pub(crate) fn resign(&mut self, why: &str) {
         let ttl = self.settings.tuning.grant_s;
         self.election.rest_until = self.now.after(ttl * REST);
+        // Its key goes with the grant, so that nobody waits for its end.
+        if let Some(hold) = self.election.hold {
+            let op = StateOp::Release(hold);
+            let _ = self.state_call(op, Purpose::Release, Priority::First);
+        }
         self.drop_block(why);
         self.give_up(why);
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -112,6 +112,7 @@
     Plan,
     Lease,
     Vouch,
+    Release,
 }
 
 pub(crate) struct Call {
@@ -448,6 +449,7 @@
             Purpose::ReadEnd(q) => self.on_end_read(q, reply),
             Purpose::Plan => self.on_planned(reply),
             Purpose::Lease => self.on_leased(reply),
+            Purpose::Release => {}
             of_block => self.on_block_reply(of_block, tenure, reply),
         }
         self.catch_up();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -588,6 +588,8 @@
         ttl_ms: u64,
     },
     Extend(u64),
+    /// Ends a grant now, and with it the keys that hang on it.
+    Release(u64),
     Follow {
         after: u64,
     },
@@ -716,6 +718,11 @@
                 post("/grants".into(), encode(&GrantBody { ttl_ms: *ttl_ms }))
             }
             Self::Extend(hold) => post(format!("/grants/{hold}/extend"), Vec::new()),
+            Self::Release(hold) => Call {
+                method: "DELETE",
+                path: format!("/grants/{hold}"),
+                body: None,
+            },
             Self::Follow { after } => get(format!(
                 "/follow?prefix={PREFIX}&after={after}&blockMs={FOLLOW_MS}"
             )),
@@ -751,8 +758,8 @@
             (Self::Grant { .. }, 200) => {
                 decode::<HoldBody>(body).map(|b| StateReply::Granted(b.hold))
             }
-            (Self::Extend(_), 200..=204) => Some(StateReply::Extended),
-            (Self::Extend(_), 404) => Some(StateReply::NoGrant),
+            (Self::Extend(_) | Self::Release(_), 200..=204) => Some(StateReply::Extended),
+            (Self::Extend(_) | Self::Release(_), 404) => Some(StateReply::NoGrant),
             (Self::Follow { .. }, 200) => decode::<NewsBody>(body).map(news),
             (Self::Follow { .. }, 410) => Some(StateReply::TooOld),
             _ => None,
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -130,6 +130,14 @@
                 }
                 None => StateReply::NoGrant,
             },
+            StateOp::Release(id) => match self.grants.get_mut(id) {
+                Some((end, _)) => {
+                    *end = 0;
+                    self.expire(now);
+                    StateReply::Extended
+                }
+                None => StateReply::NoGrant,
+            },
             StateOp::Follow { after } => return self.news(*after),
         })
     }
