Don't send workers back to a holder that none of them reaches

The node they try next sent them straight back, which costs 5 s of a lease of 10 s. A holder that hears no worker now isn't named; the report waits or, with the holder's permission, is answered.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -733,6 +733,14 @@
         self.siblings.values().any(|s| behind(&s))
     }
 
+    /// Whether workers can be sent to a sibling: it runs, and others have reached it. A
+    /// holder that its workers can't reach says hello all the same, and a worker sent
+    /// back to it loses 5 s of its lease.
+    pub(crate) fn reachable(&self, member: &Member) -> bool {
+        let heard = self.siblings.get(member).is_some_and(|(h, _)| h.heard);
+        heard && self.lively(member)
+    }
+
     /// Whether a sibling was heard of so lately that it surely runs.
     pub(crate) fn lively(&self, member: &Member) -> bool {
         let heard = self.siblings.get(member).map(|(_, at)| *at);
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -96,7 +96,7 @@
         if let Some(reply) = self.vouch(&id, &report) {
             return self.answer(req, reply);
         }
-        let known = self.holder_of(&id).is_some_and(|h| self.lively(&h));
+        let known = self.holder_of(&id).is_some_and(|h| self.reachable(&h));
         let starting = !self.listed;
         if known || (self.blind() && !starting) || self.lost_reports.len() >= LOST_MAX {
             return self.steer(req, &id);
@@ -722,7 +722,7 @@
         };
         let rec = { recs }.find(lists)?;
         let allowed = rec.vouch.contains(&report.zone) && report.number <= rec.number.0;
-        if !allowed || self.lively(&rec.holder) {
+        if !allowed || self.reachable(&rec.holder) {
             return None;
         }
         let over = |task: &TaskId| {
