--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -263,6 +263,12 @@
         }
     }
 
+    /// Whether workers have reported here and none does any more.
+    pub(crate) fn deaf(&self, now: Time) -> bool {
+        let had = self.machines.values().any(|m| m.session > 0);
+        had && now.since(self.heard) > HEARD_S
+    }
+
     pub(crate) fn next_attempt(&mut self) -> Attempt {
         self.count += 1;
         Attempt::new(self.number, self.count)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -674,6 +674,7 @@
             sighted: !self.blind(),
             blind_ms: (self.blind_s() * 1000.0) as u64,
             heard: self.now.since(self.worker_heard) < HEARD_S,
+            deaf: self.parked.values().any(|h| h.deaf(self.now)),
         };
         self.out.push(Output::Peer(None, Message::Hello(hello)));
     }
@@ -733,12 +734,12 @@
         self.siblings.values().any(|s| behind(&s))
     }
 
-    /// Whether workers can be sent to a sibling: it runs, and others have reached it. A
-    /// holder that its workers can't reach says hello all the same, and a worker sent
-    /// back to it loses 5 s of its lease.
+    /// Whether workers can be sent to a sibling: it runs and hasn't lost its workers. A
+    /// holder that they can't reach says hello all the same, and a worker sent back to
+    /// it loses 5 s of its lease. A new holder has none to lose yet.
     pub(crate) fn reachable(&self, member: &Member) -> bool {
-        let heard = self.siblings.get(member).is_some_and(|(h, _)| h.heard);
-        heard && self.lively(member)
+        let deaf = self.siblings.get(member).is_some_and(|(h, _)| h.deaf);
+        !deaf && self.lively(member)
     }
 
     /// Whether a sibling was heard of so lately that it surely runs.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -31,6 +31,8 @@
     pub blind_ms: u64,
     /// Whether a worker has reported to it lately, wherever it was sent on to.
     pub heard: bool,
+    /// Whether it holds a block whose workers have stopped reporting to it.
+    pub deaf: bool,
 }
 
 /// What a block's holder counts for the leader.
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -324,6 +324,7 @@
         sighted: true,
         blind_ms: 40,
         heard: false,
+        deaf: false,
     });
     let framed = peer::frame(&hello);
     let mut buf = [framed.clone(), framed[..4].to_vec()].concat();
