A new holder halts what was cancelled before its time

A job cancelled between two leaders had its placements taken over unhalted; the deletion of its machine hid that until the cloud was down and the holder restarted. A cancellation found in a list counts as told 0.4 of the bound ago.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -494,12 +494,13 @@
             };
             h.put(id, index, placement);
         }
-        let live = &h.jobs[id];
         if withdrawn {
-            if live.placed.is_empty() {
-                h.to_finish.insert(id.clone());
-            }
-        } else if live.done_count == live.rec.count {
+            // It was cancelled under an earlier holder, whose halts may never have
+            // gone out: this one has to send its own.
+            return self.halt_withdrawn(id);
+        }
+        let live = &h.jobs[id];
+        if live.done_count == live.rec.count {
             h.to_finish.insert(id.clone());
         } else if live.queued() > 0 {
             h.waiting.insert(id.clone());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -140,6 +140,9 @@
 const HEARD_S: f64 = 3.0;
 /// Siblings say hello every second; one that has missed two is taken to be down.
 const LIVELY_S: f64 = 2.2;
+/// Share of the cancellation bound that is taken to be over when a cancellation is
+/// found in a list.
+const TOLD_SHARE: f64 = 0.4;
 /// Margin for the time a message takes and for late timers.
 const MARGIN_S: f64 = 2.0;
 /// Steady clocks drift apart by at most this share.
@@ -538,7 +541,12 @@
             return;
         }
         let entries = std::mem::take(entries);
-        let events = self.cache.replace(self.now, began, entries);
+        // How long ago a cancellation in the list was told isn't known. Half of the
+        // time is taken to be over: controllers that restart again and again must not
+        // begin to count anew each time.
+        let spent = self.settings.platform.facts.workers.cancel_s * TOLD_SHARE;
+        let told = Time(self.now.0.saturating_sub((spent * 1000.0) as u64));
+        let events = self.cache.replace(told, began, entries);
         self.listed = true;
         self.follow();
         self.on_events(events);
