Give a team its guarantee from teams beyond their own, rank for rank

Cause: on a full fleet a team's guarantee was only an order in the queue; with nothing further to rent it waited until others were done.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -137,13 +137,21 @@
         let Some(live) = h.jobs.get(id) else {
             return;
         };
-        if live.rec.rank <= Rank::Normal || now < live.preempting {
+        let sure = within_guarantee(h, &self.settings, live);
+        if (live.rec.rank <= Rank::Normal && !sure) || now < live.preempting {
             return;
         }
+        // Teams beyond their guarantee make room for one that lacks its own.
+        let over = if sure {
+            teams_over(h, &self.settings, &live.rec.team)
+        } else {
+            Vec::new()
+        };
         let mut victims = Vec::new();
         let mut used = Vec::new();
         for _ in 0..live.queued().min(8) {
-            let Some((machine, tasks)) = cheapest_victims(h, &self.catalog, live, now, &used)
+            let Some((machine, tasks)) =
+                cheapest_victims(h, &self.catalog, live, now, &used, &over)
             else {
                 break;
             };
@@ -364,6 +372,18 @@
     fits(used.cpus, need.cpus, team.cpus) && fits(used.gpus, need.gpus, team.gpus)
 }
 
+/// The other teams that use more than they are guaranteed, while they do.
+fn teams_over<'a>(h: &Holder, settings: &'a Settings, team: &str) -> Vec<&'a str> {
+    let teams = settings.platform.facts.teams.iter();
+    let over = teams.filter(|t| {
+        let used = h.teams.get(&t.name).copied().unwrap_or_default();
+        let guaranteed = t.cpus > 0.0 || t.gpus > 0.0;
+        let above = |used: f64, sure: f64| sure > 0.0 && used > sure + 1e-6;
+        t.name != team && (!guaranteed || above(used.cpus, t.cpus) || above(used.gpus, t.gpus))
+    });
+    over.map(|t| t.name.as_str()).collect()
+}
+
 /// Whether a machine may take this job's next task, its room apart.
 fn allowed(live: &Live, class: &ClassInfo, m: &Machine) -> bool {
     let rec = &live.rec;
@@ -502,6 +522,7 @@
     live: &Live,
     now: Time,
     used: &[MachineId],
+    over: &[&str],
 ) -> Option<(MachineId, Vec<TaskId>)> {
     let mut best: Option<(f64, &MachineId, Vec<TaskId>)> = None;
     for (name, m) in &h.machines {
@@ -512,7 +533,7 @@
         if closed || used.contains(name) || !allowed(live, class, m) || !m.health.rested(now) {
             continue;
         }
-        let Some((loss, tasks)) = victims_on(h, class, live, m) else {
+        let Some((loss, tasks)) = victims_on(h, class, live, m, over) else {
             continue;
         };
         let cost = loss + fetch_s(h, &live.rec, class, m);
@@ -529,13 +550,16 @@
     class: &ClassInfo,
     live: &Live,
     m: &Machine,
+    over: &[&str],
 ) -> Option<(f64, Vec<TaskId>)> {
     let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
     for t in &m.tasks {
         let other = h.jobs.get(&t.job)?;
         let p = other.placed.get(&t.index)?;
         let started = matches!(p.phase, Phase::Fetching | Phase::Running);
-        if other.rec.rank < live.rec.rank && p.halted.is_none() && started {
+        let below = other.rec.rank < live.rec.rank;
+        let owed = other.rec.rank == live.rec.rank && over.contains(&other.rec.team.as_str());
+        if (below || owed) && p.halted.is_none() && started {
             let ran = h.heard.since(p.since).min(other.rec.checkpoint_s.max(1e9));
             let saved = other.rec.checkpoint_s > 0.0;
             let loss = if saved { 3.0 } else { 5.0 + ran * 0.2 };
