--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -137,7 +137,11 @@
         let Some(live) = h.jobs.get(id) else {
             return;
         };
-        let sure = within_guarantee(h, &self.settings, live);
+        // Work of the same rank is stopped only where renting didn't help: it may lose
+        // all it has done.
+        let boot_s = self.catalog.iter().map(|c| c.ready_s).fold(0.0, f64::max);
+        let waited = now.since(live.since) > boot_s;
+        let sure = waited && within_guarantee(h, &self.settings, live);
         if (live.rec.rank <= Rank::Normal && !sure) || now < live.preempting {
             return;
         }
