One place says whether a block has a machine; unused work removed

Three places asked a block's record for a machine in the same words: BlockRec::has. Composing commands filled a map of the report's tasks that nothing read, for every report; a bound in the cost of a victim could never bind; the simulation passed a flag that was always true. Behaviour stays as it is; no test changed what it asserts.

--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -217,10 +217,7 @@
     pub(crate) fn add_stray(&mut self, entry: Entry) {
         let recs = self.cache.blocks.values();
         let mut lists = recs.filter_map(|b| b.rec.as_ref());
-        let known = lists.any(|b| match &b.machines {
-            None => true,
-            Some(list) => list.iter().any(|e| e.0 == entry.0),
-        });
+        let known = lists.any(|b| b.has(&entry.0));
         if let Some(lead) = self.lead.as_mut().filter(|_| !known)
             && !lead.gone.contains_key(&entry.0)
         {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -709,13 +709,9 @@
     /// Who holds the block that a machine belongs to, as far as can be told: by the
     /// state service or, when this controller is blind, by what siblings said lately.
     pub(crate) fn holder_of(&self, machine: &MachineId) -> Option<Member> {
-        let lists = |b: &&BlockRec| {
-            let list = b.machines.as_ref();
-            list.is_none_or(|list| list.iter().any(|e| e.0 == *machine))
-        };
         let recs = self.cache.blocks.iter();
         let mut recs = recs.filter_map(|(k, b)| Some((*k, b.rec.as_ref()?)));
-        let found = recs.find(|(_, b)| lists(b));
+        let found = recs.find(|(_, b)| b.has(machine));
         let me = &self.settings.platform.member;
         let Some((block, rec)) = found else {
             // In no block yet: the leader will see to it.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -564,7 +564,7 @@
         let below = other.rec.rank < live.rec.rank;
         let owed = other.rec.rank == live.rec.rank && over.contains(&other.rec.team.as_str());
         if (below || owed) && p.halted.is_none() && started {
-            let ran = h.heard.since(p.since).min(other.rec.checkpoint_s.max(1e9));
+            let ran = h.heard.since(p.since);
             let saved = other.rec.checkpoint_s > 0.0;
             let loss = if saved { 3.0 } else { 5.0 + ran * 0.2 };
             lower.push((loss, t, other.rec.need));
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -95,6 +95,14 @@
     pub allowances: Option<BTreeMap<String, (f64, f64)>>,
 }
 
+impl BlockRec {
+    /// Whether a machine belongs to this block.
+    pub fn has(&self, machine: &MachineId) -> bool {
+        let list = self.machines.as_ref();
+        list.is_none_or(|list| list.iter().any(|e| e.0 == *machine))
+    }
+}
+
 /// One request to rent, written before it is sent, so that a new leader can repeat
 /// it under the same name and learn its machines instead of renting again.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -12,7 +12,7 @@
 use super::holder::{Machine, Phase};
 use super::*;
 use log::{debug, info, warn};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 /// A start is sent this often before its placement is given up.
 const SENDS_MAX: u32 = 4;
@@ -428,10 +428,8 @@
             return Vec::new();
         };
         let mut out = Vec::new();
-        let mut listed = HashMap::new();
         for t in report.into_iter().flat_map(|r| &r.tasks) {
             if let Some(task) = TaskId::parse(&t.task) {
-                listed.insert((task.clone(), t.attempt), t.stance);
                 out.extend(stray_command(h, id, &task, t));
             }
         }
@@ -715,12 +713,8 @@
         if self.blind() {
             return None;
         }
-        let recs = self.cache.blocks.values().filter_map(|b| b.rec.as_ref());
-        let lists = |b: &&BlockRec| {
-            let list = b.machines.as_ref();
-            list.is_none_or(|list| list.iter().any(|e| e.0 == *id))
-        };
-        let rec = { recs }.find(lists)?;
+        let mut recs = self.cache.blocks.values().filter_map(|b| b.rec.as_ref());
+        let rec = recs.find(|b| b.has(id))?;
         let allowed = rec.vouch.contains(&report.zone) && report.number <= rec.number.0;
         if !allowed || self.reachable(&rec.holder) {
             return None;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -39,8 +39,8 @@
     Node(usize, u64, Input),
     Wake(usize, u64),
     Restart(usize),
-    State(usize, u64, CallId, StateOp, bool),
-    Cloud(usize, u64, CallId, CloudOp, bool),
+    State(usize, u64, CallId, StateOp),
+    Cloud(usize, u64, CallId, CloudOp),
     FollowEnd(usize, u64, CallId),
     Boot(String),
     WorkerTick(String),
@@ -336,8 +336,8 @@
                 }
             }
             Ev::Restart(n) => self.restart(n),
-            Ev::State(n, boot, call, op, counts) => self.state_executes(n, boot, call, op, counts),
-            Ev::Cloud(n, boot, call, op, counts) => self.cloud_executes(n, boot, call, op, counts),
+            Ev::State(n, boot, call, op) => self.state_executes(n, boot, call, op),
+            Ev::Cloud(n, boot, call, op) => self.cloud_executes(n, boot, call, op),
             Ev::FollowEnd(n, boot, call) => self.follow_end(n, boot, call),
             Ev::Boot(id) => self.boot_worker(&id),
             Ev::WorkerTick(id) => self.worker_tick(&id),
@@ -441,13 +441,13 @@
                 let none = Input::State(call, StateReply::NoAnswer);
                 self.after(patience, Ev::Node(n, boot, none));
                 let delay = 2 + self.random(4);
-                self.cross(n, Far::State, delay, Ev::State(n, boot, call, op, true));
+                self.cross(n, Far::State, delay, Ev::State(n, boot, call, op));
             }
             Output::Forget(call) => self.state.waiters.retain(|w| w.call != call || w.node != n),
             Output::Cloud(call, op) => {
                 let none = Input::Cloud(call, CloudReply::NoAnswer);
                 self.after(6000, Ev::Node(n, boot, none));
-                self.cross(n, Far::Cloud, 50, Ev::Cloud(n, boot, call, op, true));
+                self.cross(n, Far::Cloud, 50, Ev::Cloud(n, boot, call, op));
             }
             Output::Peer(to, message) => {
                 for m in 0..self.nodes.len() {
@@ -555,7 +555,7 @@
 
     // ---- services
 
-    fn state_executes(&mut self, n: usize, boot: u64, call: CallId, op: StateOp, counts: bool) {
+    fn state_executes(&mut self, n: usize, boot: u64, call: CallId, op: StateOp) {
         let now = self.now;
         let refused = self.nodes[n].refused_until > now;
         let waits = matches!(op, StateOp::Follow { .. });
@@ -583,8 +583,7 @@
                 self.after(10_000, Ev::FollowEnd(n, boot, call));
             }
             Some(reply) => {
-                let lost = counts
-                    && self.lose_commits > 0
+                let lost = self.lose_commits > 0
                     && matches!(op, StateOp::Commit { .. })
                     && matches!(reply, StateReply::Committed { .. });
                 if lost {
@@ -631,7 +630,7 @@
         }
     }
 
-    fn cloud_executes(&mut self, n: usize, boot: u64, call: CallId, op: CloudOp, _counts: bool) {
+    fn cloud_executes(&mut self, n: usize, boot: u64, call: CallId, op: CloudOp) {
         let now = self.now;
         let before = self.cloud.rigs.len();
         let (reply, gone) = self.cloud.execute(now, &op);
