--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -699,7 +699,8 @@
         }
         for m in self.machines.values() {
             let quiet = now.since(m.seen.max(self.since)) > lease_s;
-            let silent = m.up.is_some() && m.held.is_none() && quiet && !self.cut;
+            let cut = self.cut || self.cut_zones.contains(&m.zone);
+            let silent = m.up.is_some() && m.held.is_none() && quiet && !cut;
             self.count_machine(catalog, m, silent, &mut counts);
         }
         let mut team_left = HashMap::new();
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -78,7 +78,6 @@
             holder: self.settings.platform.member.clone(),
             boot: self.boot,
             number,
-            vouch: Vec::new(),
             machines: old.as_ref().and_then(|b| b.machines.clone()),
             allowances: old.and_then(|b| b.allowances),
         };
@@ -321,7 +320,6 @@
             *load.entry(member.clone()).or_default() += 1;
             highest.0 += 1;
             (rec.holder, rec.boot, rec.number) = (member, boot, *highest);
-            rec.vouch.clear();
         }
     }
 
@@ -374,7 +372,6 @@
             holder,
             boot,
             number: *highest,
-            vouch: Vec::new(),
             machines: Some(Vec::new()),
             allowances: Some(BTreeMap::new()),
         };
@@ -546,7 +543,7 @@
 }
 
 /// A number from a name, the same everywhere (FNV-1a).
-fn spread(name: &str) -> u64 {
+pub(crate) fn spread(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| {
         (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
     })
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -217,8 +217,11 @@
         warn!("no longer holds block {}: {why}", holder.block);
         self.spent.insert(holder.block, holder.number);
         self.share_budgets();
-        for (req, machine) in holder.held_requests() {
-            self.steer(req, &machine);
+        // Its workers stay where they are until there is a new holder. An answer under
+        // the number given up is worth nothing to those that have shown a higher one.
+        for req in holder.held_requests() {
+            let body = commands_body(holder.number, &[]);
+            self.answer(req, Reply::ok(200, body));
         }
     }
 
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -44,11 +44,15 @@
     /// Questions whose job isn't among the live ones: its end is still to be read.
     unknown: VecDeque<Question>,
     withdrawals: VecDeque<Question>,
+    /// Withdrawals that are marked, and told once no task of their job is left.
+    leaving: VecDeque<Question>,
 }
 
 /// Users wait 2 s for the answer to a question, and 5 s for other ones.
 const QUESTION_S: f64 = 1.5;
 const SUBMIT_S: f64 = 3.0;
+/// Halts and the reports that confirm them mostly take less than this.
+const LEAVE_S: f64 = 2.5;
 /// Most requests that wait at once. What comes on top is told when to come back.
 const WAITING_MAX: usize = 400;
 /// Submissions that wait are at most what the change budget clears in this time.
@@ -76,7 +80,7 @@
     }
 
     pub(crate) fn on_hangup(&mut self, req: ReqId) {
-        self.lost_reports.retain(|l| l.req != req);
+        self.forget_report(req);
         for h in self.parked.values_mut() {
             h.forget_request(req);
         }
@@ -203,11 +207,11 @@
             self.front.unknown.push_back(q);
             return;
         };
-        if job.withdrawn.is_some() {
-            return self.answer_ending(q.req, &q.id, Ending::Withdrawn);
-        }
         if q.wish == Wish::Withdraw {
-            self.front.withdrawals.push_back(q);
+            match job.withdrawn {
+                None => self.front.withdrawals.push_back(q),
+                Some(_) => self.front.leaving.push_back(q),
+            }
             return;
         }
         let (done, running) = self.cache.counts(&q.id);
@@ -234,13 +238,10 @@
             };
             let mut rec = (*job.rec).clone();
             rec.withdrawn = true;
-            let (job, end) = (Key::Job(q.id.clone()), Key::End(q.id.clone()));
+            let key = Key::Job(q.id.clone());
             let op = StateOp::Commit {
-                when: vec![(job.clone(), self.cache.jobs[&q.id].mark), (end.clone(), 0)],
-                writes: vec![
-                    Write::put(job, Record::Job(Box::new(rec))),
-                    Write::put(end, Record::End(Ending::Withdrawn)),
-                ],
+                when: vec![(key.clone(), job.mark)],
+                writes: vec![Write::put(key, Record::Job(Box::new(rec)))],
             };
             if let Err(Purpose::Withdraw(q)) =
                 self.state_call(op, Purpose::Withdraw(q), Priority::First)
@@ -255,8 +256,8 @@
         match reply {
             StateReply::Committed { .. } => {
                 info!("job {} withdrawn by its user", q.id);
-                self.cache.remember(q.id.clone(), Ending::Withdrawn);
-                self.answer_ending(q.req, &q.id, Ending::Withdrawn);
+                self.front.leaving.push_back(q);
+                self.answer_leaving();
             }
             StateReply::Refused => self.front.withdrawals.push_back(q),
             // Somebody changed the job, or the commit may stand: look again.
@@ -267,6 +268,18 @@
         }
     }
 
+    /// Tells users whose jobs have gone. A withdrawal is told only now, when every task
+    /// is proven gone: then nothing that fails later can let one run on past the bound.
+    pub(crate) fn answer_leaving(&mut self) {
+        for q in std::mem::take(&mut self.front.leaving) {
+            match self.cache.ending(&q.id) {
+                Some(ending) => self.answer_ending(q.req, &q.id, ending),
+                None if self.cache.jobs.contains_key(&q.id) => self.front.leaving.push_back(q),
+                None => self.front.unknown.push_back(q),
+            }
+        }
+    }
+
     fn pump_unknown(&mut self) {
         while let Some(q) = self.front.unknown.pop_front() {
             let op = StateOp::Get(Key::End(q.id.clone()));
@@ -368,6 +381,13 @@
                 keep
             });
         }
+        f.leaving.retain(|q| {
+            let keep = now.since(q.asked) < LEAVE_S;
+            if !keep {
+                late.push(q.req);
+            }
+            keep
+        });
         f.submissions.retain(|s| {
             let keep = now.since(s.asked) < SUBMIT_S;
             if !keep {
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -139,9 +139,8 @@
     pub since: Time,
     /// Whether it is the only block, with every machine there is in it.
     pub whole: bool,
-    /// Zones whose workers others may keep alive meanwhile.
-    pub(crate) vouch: Vec<String>,
-    pub(crate) vouch_busy: bool,
+    /// Zones of which so many machines are silent that they must be cut off.
+    pub(crate) cut_zones: BTreeSet<Rc<str>>,
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
@@ -186,8 +185,7 @@
             block_mark: 0,
             since: now,
             whole: true,
-            vouch: Vec::new(),
-            vouch_busy: false,
+            cut_zones: BTreeSet::new(),
             allowances: None,
             count: 0,
             jobs: BTreeMap::new(),
@@ -214,23 +212,14 @@
         self.releases.first().map(|(t, _)| *t)
     }
 
-    pub(crate) fn held_requests(&self) -> Vec<(ReqId, MachineId)> {
-        let all = self.machines.iter();
-        let held = all.filter_map(|(id, m)| Some((m.held?.0, id.clone())));
-        held.collect()
+    pub(crate) fn held_requests(&self) -> Vec<ReqId> {
+        let held = self.machines.values().filter_map(|m| m.held);
+        held.map(|(req, _)| req).collect()
     }
 
     /// Takes over what the block's record says besides who holds it.
     pub(crate) fn sync(&mut self, now: Time, mark: u64, rec: &BlockRec, catalog: &[ClassInfo]) {
         self.block_mark = mark;
-        // Others may have answered for these workers until they learnt of the change,
-        // so their leases count from then at the earliest.
-        for zone in self.vouch.iter().filter(|z| !rec.vouch.contains(z)) {
-            for m in self.machines.values_mut().filter(|m| *m.zone == **zone) {
-                m.answered = m.answered.max(now.after(BLIND_S));
-            }
-        }
-        self.vouch = rec.vouch.clone();
         self.whole = rec.machines.is_none();
         self.allowances = rec.allowances.clone();
         self.place_wanted = true;
@@ -734,10 +723,13 @@
                 (job.clone(), live.mark),
             ];
             let mut writes = Vec::new();
-            if live.withdrawn.is_none() {
-                when.push((end.clone(), 0));
-                writes.push(Write::put(end, Record::End(Ending::Done)));
-            }
+            let (ending, priority) = match live.withdrawn {
+                None => (Ending::Done, Priority::Usual),
+                // Its user waits for this one.
+                Some(_) => (Ending::Withdrawn, Priority::First),
+            };
+            when.push((end.clone(), 0));
+            writes.push(Write::put(end, Record::End(ending)));
             writes.push(Write::Delete { key: job });
             let written = live.chunks.iter().filter(|(_, c)| c.mark > 0);
             let room = ops - writes.len();
@@ -747,7 +739,7 @@
             live.finishing = true;
             let op = StateOp::Commit { when, writes };
             if self
-                .state_call(op, Purpose::Finish(id.clone()), Priority::Usual)
+                .state_call(op, Purpose::Finish(id.clone()), priority)
                 .is_err()
             {
                 if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -132,8 +132,7 @@
     }
 
     /// Takes a full listing that began at `ledger`: what it doesn't hold is gone.
-    /// Cancellations found in it were told at some time before: `told` is taken for it.
-    pub fn replace(&mut self, told: Time, ledger: u64, entries: Vec<Change>) -> Vec<Event> {
+    pub fn replace(&mut self, now: Time, ledger: u64, entries: Vec<Change>) -> Vec<Event> {
         let mut events = Vec::new();
         let listed: std::collections::HashSet<Key> =
             entries.iter().map(|(k, _, _)| k.clone()).collect();
@@ -154,7 +153,7 @@
             self.leader.set(ledger, None);
         }
         for change in entries {
-            events.extend(self.apply(told, change));
+            events.extend(self.apply(now, change));
         }
         self.ledger = self.ledger.max(ledger);
         events
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod jobs;
 mod placement;
 pub mod records;
+mod relay;
 mod workers;
 
 use crate::ids::*;
@@ -52,6 +53,8 @@
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
     Peer(Message),
+    /// What became of this controller's own connection to a sibling.
+    Link(Member, Link),
     /// Time has passed.
     Tick,
 }
@@ -82,6 +85,14 @@
     }
 }
 
+/// A connection to a sibling.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    Up,
+    Lost,
+    Refused,
+}
+
 #[derive(Debug)]
 pub enum Output {
     Answer(ReqId, Reply),
@@ -111,7 +122,6 @@
     Cleanup(Vec<(JobId, u32)>),
     Plan,
     Lease,
-    Vouch,
     Release,
 }
 
@@ -140,9 +150,6 @@
 const HEARD_S: f64 = 3.0;
 /// Siblings say hello every second; one that has missed two is taken to be down.
 const LIVELY_S: f64 = 2.2;
-/// Share of the cancellation bound that is taken to be over when a cancellation is
-/// found in a list.
-const TOLD_SHARE: f64 = 0.4;
 /// Margin for the time a message takes and for late timers.
 const MARGIN_S: f64 = 2.0;
 /// Steady clocks drift apart by at most this share.
@@ -202,8 +209,7 @@
     catalog_retry: Time,
     siblings: BTreeMap<Member, (Hello, Time)>,
     hello_at: Time,
-    /// Reports that wait until there is somebody to send their workers to.
-    lost_reports: VecDeque<workers::LostReport>,
+    relays: relay::Relays,
     tally_at: Time,
     listing: bool,
     list_at: Time,
@@ -250,7 +256,7 @@
             catalog_retry: Time(0),
             siblings: BTreeMap::new(),
             hello_at: Time(0),
-            lost_reports: VecDeque::new(),
+            relays: relay::Relays::default(),
             tally_at: Time(0),
             listing: false,
             list_at: Time(0),
@@ -265,6 +271,7 @@
     /// Takes one input; `now` never goes back.
     pub fn step(&mut self, now: Time, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
+        self.note_start();
         match input {
             Input::Ask(req, ask) => self.on_ask(req, ask),
             Input::Hangup(req) => self.on_hangup(req),
@@ -272,6 +279,9 @@
             Input::Cloud(call, reply) => self.on_cloud(call, reply),
             Input::Peer(Message::Hello(hello)) => self.on_hello(hello),
             Input::Peer(Message::Tally(tally)) => self.on_tally(*tally),
+            Input::Peer(Message::Beat(beat)) => self.on_beat(*beat),
+            Input::Peer(Message::BeatAnswer(answer)) => self.on_beat_answer(answer),
+            Input::Link(member, link) => self.on_link(member, link),
             Input::Tick => {}
         }
         if self.now >= self.chores_at {
@@ -327,7 +337,7 @@
         self.sync_chores();
         self.front_chores();
         self.election_chores();
-        self.steer_lost_reports();
+        self.relay_chores();
         self.each_block(Self::holder_chores);
         self.catalog_chores();
         self.lead_chores();
@@ -417,10 +427,6 @@
         CallId(self.next_call)
     }
 
-    pub(crate) fn answer(&mut self, req: ReqId, reply: Reply) {
-        self.out.push(Output::Answer(req, reply));
-    }
-
     fn on_state(&mut self, id: CallId, reply: StateReply) {
         let Some(call) = self.calls.remove(&id) else {
             return;
@@ -471,7 +477,6 @@
                 Purpose::Reread(job, chunk) => core.on_reread(job, chunk, reply),
                 Purpose::Finish(job) => core.on_finished(job, reply),
                 Purpose::Cleanup(list) => core.on_cleaned(list, reply),
-                Purpose::Vouch => core.on_vouch_written(),
                 _ => {}
             }
         });
@@ -541,12 +546,7 @@
             return;
         }
         let entries = std::mem::take(entries);
-        // How long ago a cancellation in the list was told isn't known. Half of the
-        // time is taken to be over: controllers that restart again and again must not
-        // begin to count anew each time.
-        let spent = self.settings.platform.facts.workers.cancel_s * TOLD_SHARE;
-        let told = Time(self.now.0.saturating_sub((spent * 1000.0) as u64));
-        let events = self.cache.replace(told, began, entries);
+        let events = self.cache.replace(self.now, began, entries);
         self.listed = true;
         self.follow();
         self.on_events(events);
@@ -611,6 +611,7 @@
         if control {
             self.on_control();
         }
+        self.answer_leaving();
     }
 
     // ---- freshness
@@ -683,13 +684,28 @@
             blind_ms: (self.blind_s() * 1000.0) as u64,
             heard: self.now.since(self.worker_heard) < HEARD_S,
             deaf: self.parked.values().any(|h| h.deaf(self.now)),
+            relays: self.relays(),
+            at_ms: self.now.0,
+            echoes: self.echoes(),
+            sheltered_ms: self.sheltered_ms(),
         };
         self.out.push(Output::Peer(None, Message::Hello(hello)));
     }
 
+    /// Which message of each sibling came last, for `nobody_sheltered` there.
+    fn echoes(&self) -> Vec<(Member, u64, u64)> {
+        let all = self.siblings.values();
+        all.map(|(h, _)| (h.from.clone(), h.boot, h.at_ms))
+            .collect()
+    }
+
+    pub(crate) fn is_sibling(&self, member: &Member) -> bool {
+        let mut siblings = self.settings.platform.siblings.iter();
+        siblings.any(|s| s.member == *member)
+    }
+
     fn on_hello(&mut self, hello: Hello) {
-        let known = |s: &crate::settings::Sibling| s.member == hello.from;
-        if !self.settings.platform.siblings.iter().any(known) {
+        if !self.is_sibling(&hello.from) {
             return;
         }
         // Cut off from the state service, a holder learns here that it has been
@@ -757,6 +773,11 @@
         self.lately().any(|h| h.sighted && h.heard)
     }
 
+    /// Whether there are siblings and none is heard.
+    pub(crate) fn unheard(&self) -> bool {
+        !self.settings.platform.siblings.is_empty() && self.lately().next().is_none()
+    }
+
     fn lately(&self) -> impl Iterator<Item = &Hello> {
         let recent = |at: &Time| self.now.since(*at) < HEARD_S;
         let all = self.siblings.values();
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -85,10 +85,6 @@
     /// The block's machines; `None` for all there are, while it is the only block.
     #[serde(default)]
     pub machines: Option<Vec<Entry>>,
-    /// Zones whose workers any controller may keep alive under this number, while the
-    /// holder can't be reached from there.
-    #[serde(default)]
-    pub vouch: Vec<String>,
     /// CPUs and GPUs that each team with a limit may use here; `None` for the whole
     /// limit, while this is the only block.
     #[serde(default)]
--- /dev/null
+++ b/src/core/relay.rs
@@ -0,0 +1,369 @@
+//! How reports come to the holder of their machine's block, and what keeps workers
+//! alive when they can't.
+//!
+//! A worker reports to a controller of its own zone, which hands the report on to the
+//! holder and the answer back. When the zone is cut off, or the holder ends, the worker
+//! needn't look for another controller while its lease runs: its own one answers in
+//! the holder's place ("shelters" it) under the number it knows, without starts.
+//!
+//! Why that is safe. An answer under the holder's number gives a worker nothing but
+//! time, and halts what is cancelled. Time breaks two things only. A lease proves a
+//! task gone only once the zone's other controllers have said that they sheltered
+//! nobody while it ran out (`nobody_sheltered`). And a cancellation is told to its user
+//! only once every task is proven gone (`front`), so no bound runs against a worker
+//! that nobody with sight of the state service reaches.
+
+use super::*;
+use crate::peer::{Beat, BeatAnswer};
+
+/// A report whose machine's holder is down.
+#[derive(Debug)]
+struct LostReport {
+    req: ReqId,
+    report: Report,
+    since: Time,
+}
+
+/// How long such a report waits at most, in seconds, and how many do at once. Workers
+/// wait for 4 s.
+const LOST_S: f64 = 3.0;
+const LOST_MAX: usize = 400;
+/// A report handed on is answered here when no answer came this long after the time
+/// for which the holder may hold it.
+const RELAY_GRACE_S: f64 = 1.0;
+/// Reports with more tasks don't fit into a message to a sibling; their workers go to
+/// the holder themselves.
+const RELAY_TASKS: usize = 200;
+/// A holder that refuses connections for this much longer than a takeover takes isn't
+/// down: only the controllers can't reach it, and workers are sent there.
+const TAKEOVER_S: f64 = 1.5;
+/// Pause between two workers sent home to a controller that hears no worker yet.
+const CANARY_S: f64 = 2.0;
+
+/// A report handed to its holder.
+#[derive(Debug)]
+struct Relayed {
+    to: Member,
+    report: Report,
+    since: Time,
+}
+
+/// A report that a sibling handed on: which of its processes, and which request there.
+#[derive(Debug)]
+struct Guest {
+    from: Member,
+    boot: u64,
+    req: ReqId,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Relays {
+    out: BTreeMap<ReqId, Relayed>,
+    guests: HashMap<ReqId, Guest>,
+    guest_count: u64,
+    /// Reports that wait until there is somebody to send their workers to.
+    lost: VecDeque<LostReport>,
+    /// Siblings to whom no connection can be made, and since when they refuse it.
+    down: BTreeMap<Member, Option<Time>>,
+    /// When this process last answered in a holder's place; at first its start.
+    sheltered: Option<Time>,
+    canaries: BTreeMap<Member, Time>,
+}
+
+/// Requests of guests are numbered apart from those that come on connections.
+const GUESTS: u64 = 1 << 62;
+
+impl Core {
+    pub(crate) fn on_report(&mut self, req: ReqId, report: Report) {
+        self.worker_heard = self.now;
+        let id = MachineId::from(report.machine.as_str());
+        if let Some(home) = self.home_of(&id, &report) {
+            return self.answer(req, Reply::ok(421, steer_body(Some(&home))));
+        }
+        if let Some(block) = self.block_here(&id) {
+            return self.in_block(block, |core| core.on_block_report(req, &id, report));
+        }
+        self.note_stray(&id, &report);
+        self.pass_on(req, report);
+    }
+
+    /// The block held here to which a machine belongs.
+    fn block_here(&self, id: &MachineId) -> Option<u32> {
+        let mut held = self.parked.iter();
+        let mine = held.find(|(_, h)| h.machines.contains_key(id));
+        let whole = || self.parked.iter().find(|(_, h)| h.whole);
+        mine.or_else(whole).map(|(block, _)| *block)
+    }
+
+    /// The controller of a worker's own zone to which it had better report. One that
+    /// hears nobody yet gets workers one by one: if they can't reach it, the others
+    /// mustn't lose half a lease by trying.
+    fn home_of(&mut self, id: &MachineId, report: &Report) -> Option<Member> {
+        let facts = &self.settings.platform;
+        if report.zone == facts.site || report.tasks.len() > RELAY_TASKS {
+            return None;
+        }
+        let fit = |s: &&crate::settings::Sibling| {
+            let hello = self.siblings.get(&s.member).map(|(h, _)| h);
+            s.site == report.zone && self.linked(&s.member) && hello.is_some_and(|h| h.relays)
+        };
+        let local: Vec<&Member> = facts
+            .siblings
+            .iter()
+            .filter(fit)
+            .map(|s| &s.member)
+            .collect();
+        let at = blocks::spread(id.as_str()) % local.len().max(1) as u64;
+        let home = (*local.get(at as usize)?).clone();
+        let heard = self.siblings.get(&home).is_some_and(|(h, _)| h.heard);
+        let canary = self.relays.canaries.get(&home);
+        if !heard && canary.is_some_and(|at| self.now.since(*at) < CANARY_S) {
+            return None;
+        }
+        self.relays.canaries.insert(home.clone(), self.now);
+        Some(home)
+    }
+
+    /// Hands a report on to its holder, or does what can be done without it.
+    fn pass_on(&mut self, req: ReqId, report: Report) {
+        let id = MachineId::from(report.machine.as_str());
+        let holder = self.holder_of(&id);
+        let reached = holder.filter(|h| self.reachable(h));
+        match reached {
+            Some(to) if self.linked(&to) && report.tasks.len() <= RELAY_TASKS => {
+                let beat = Beat::new(&self.settings.platform.member, self.boot, req, &report);
+                let message = Message::Beat(Box::new(beat));
+                self.out.push(Output::Peer(Some(to.clone()), message));
+                let since = self.now;
+                self.relays.out.insert(req, Relayed { to, report, since });
+            }
+            Some(to) if report.tasks.len() > RELAY_TASKS => {
+                self.answer(req, Reply::ok(421, steer_body(Some(&to))));
+            }
+            _ => self.without_holder(req, report, self.now),
+        }
+    }
+
+    /// Answers a report in its holder's place, or keeps it for a while.
+    fn without_holder(&mut self, req: ReqId, report: Report, since: Time) {
+        if let Some(reply) = self.shelter(&report) {
+            self.relays.sheltered = Some(self.now);
+            return self.answer(req, reply);
+        }
+        let id = MachineId::from(report.machine.as_str());
+        let known = self
+            .holder_of(&id)
+            .is_some_and(|h| self.reachable(&h) || self.shut_off(&h));
+        let waited = self.now.since(since) >= LOST_S;
+        let starting = !self.listed;
+        let full = self.relays.lost.len() >= LOST_MAX;
+        if known || waited || full || (self.blind() && !starting) {
+            return self.steer(req, &id);
+        }
+        // While the holder is down, a worker that is sent there, or on to the next
+        // node, loses a second each time.
+        self.relays
+            .lost
+            .push_back(LostReport { req, report, since });
+    }
+
+    /// The answer that keeps a worker of this controller's own zone alive while its
+    /// holder can't be reached: no starts, but halts for what is cancelled or over.
+    fn shelter(&self, report: &Report) -> Option<Reply> {
+        let id = MachineId::from(report.machine.as_str());
+        let recs = self.cache.blocks.values();
+        let mut recs = recs.filter_map(|b| b.rec.as_ref());
+        let rec = recs.find(|b| b.has(&id)).filter(|_| self.listed)?;
+        let home = report.zone == self.settings.platform.site;
+        if !home || report.number > rec.number.0 || self.shut_off(&rec.holder) {
+            return None;
+        }
+        let blind = self.blind();
+        // Without sight, a job that isn't known here may be newer than what is.
+        let over = |task: &TaskId| match self.cache.jobs.get(&task.job) {
+            Some(job) => job.withdrawn.is_some(),
+            None => !blind,
+        };
+        let halts = report.tasks.iter().filter_map(|t| {
+            let task = TaskId::parse(&t.task)?;
+            let runs = t.stance != TaskStance::Ended;
+            (runs && over(&task)).then(|| Command::Halt {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+        });
+        let halts: Vec<Command> = halts.collect();
+        Some(Reply::ok(200, commands_body(rec.number, &halts)))
+    }
+
+    /// Sends a worker to its block's holder, if it is known.
+    pub(crate) fn steer(&mut self, req: ReqId, machine: &MachineId) {
+        // A blind node names nobody that may be dead: it would send its workers back
+        // and forth while their leases run out.
+        let blind = self.blind();
+        let holder = self.holder_of(machine);
+        let holder = holder.filter(|h| !blind || self.lively(h));
+        self.answer(req, Reply::ok(421, steer_body(holder.as_ref())));
+    }
+
+    pub(crate) fn relay_chores(&mut self) {
+        for lost in std::mem::take(&mut self.relays.lost) {
+            let id = MachineId::from(lost.report.machine.as_str());
+            let held = self.block_here(&id).is_some();
+            let holder = self.holder_of(&id);
+            if held || holder.is_some_and(|h| self.reachable(&h)) {
+                self.on_report(lost.req, lost.report);
+            } else {
+                self.without_holder(lost.req, lost.report, lost.since);
+            }
+        }
+        let w = &self.settings.platform.facts.workers;
+        let patience = self.settings.tuning.report_hold * w.report_s + RELAY_GRACE_S;
+        let late = self.relays.out.iter().filter(|(_, r)| {
+            self.now.since(r.since) > patience || !self.lively(&r.to) || !self.linked(&r.to)
+        });
+        let late: Vec<ReqId> = late.map(|(req, _)| *req).collect();
+        for req in late {
+            if let Some(r) = self.relays.out.remove(&req) {
+                self.without_holder(req, r.report, r.since);
+            }
+        }
+    }
+
+    // ---- siblings
+
+    /// A sibling hands on a report of one of its workers.
+    pub(crate) fn on_beat(&mut self, beat: Beat) {
+        if !self.is_sibling(&beat.from) {
+            return;
+        }
+        self.relays.guest_count += 1;
+        let req = ReqId(GUESTS + self.relays.guest_count);
+        let guest = Guest {
+            from: beat.from.clone(),
+            boot: beat.boot,
+            req: ReqId(beat.req),
+        };
+        self.relays.guests.insert(req, guest);
+        let report = beat.report();
+        let id = MachineId::from(report.machine.as_str());
+        match self.block_here(&id) {
+            Some(block) => self.in_block(block, |core| core.on_block_report(req, &id, report)),
+            None => self.answer(req, Reply::ok(421, steer_body(None))),
+        }
+    }
+
+    /// The holder's answer to a report that was handed on to it.
+    pub(crate) fn on_beat_answer(&mut self, answer: BeatAnswer) {
+        let req = ReqId(answer.req);
+        if answer.boot != self.boot {
+            return;
+        }
+        let Some(relayed) = self.relays.out.remove(&req) else {
+            return;
+        };
+        if answer.status == 421 {
+            // It doesn't hold the block any more; who does is soon known here.
+            return self.without_holder(req, relayed.report, relayed.since);
+        }
+        let reply = Reply {
+            status: answer.status,
+            body: answer.body,
+            retry_after: answer.retry_after,
+        };
+        self.answer(req, reply);
+    }
+
+    pub(crate) fn answer(&mut self, req: ReqId, reply: Reply) {
+        let Some(guest) = self.relays.guests.remove(&req) else {
+            return self.out.push(Output::Answer(req, reply));
+        };
+        let answer = BeatAnswer {
+            boot: guest.boot,
+            req: guest.req.0,
+            status: reply.status,
+            body: reply.body,
+            retry_after: reply.retry_after,
+        };
+        let message = Message::BeatAnswer(answer);
+        self.out.push(Output::Peer(Some(guest.from), message));
+    }
+
+    pub(crate) fn forget_report(&mut self, req: ReqId) {
+        self.relays.lost.retain(|l| l.req != req);
+        self.relays.out.remove(&req);
+    }
+
+    /// Whether a connection to a sibling could be made, or was refused.
+    pub(crate) fn on_link(&mut self, member: Member, link: Link) {
+        match link {
+            Link::Up => {
+                self.relays.down.remove(&member);
+            }
+            Link::Lost => {
+                self.relays.down.entry(member).or_insert(None);
+            }
+            Link::Refused => {
+                let since = self.relays.down.entry(member).or_insert(None);
+                since.get_or_insert(self.now);
+            }
+        }
+    }
+
+    /// Whether messages reach a sibling, as far as is known.
+    fn linked(&self, member: &Member) -> bool {
+        self.lively(member) && !self.relays.down.contains_key(member)
+    }
+
+    /// Whether a holder runs, since its record stands, while it refuses connections
+    /// from here: a filter between the controllers, which its workers may pass.
+    fn shut_off(&self, holder: &Member) -> bool {
+        let patience = self.settings.tuning.grant_s + TAKEOVER_S;
+        let refused = self.relays.down.get(holder).copied().flatten();
+        !self.blind() && refused.is_some_and(|since| self.now.since(since) > patience)
+    }
+
+    /// Whether this controller can hand reports on: to itself, or to who leads.
+    pub(crate) fn relays(&self) -> bool {
+        let leader = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
+        let here = leader.as_ref() == Some(&self.settings.platform.member);
+        here || leader.is_some_and(|l| self.linked(&l))
+    }
+
+    /// How long ago this process last answered in a holder's place or, if it never
+    /// did, began: an earlier process may have.
+    pub(crate) fn sheltered_ms(&self) -> u64 {
+        let last = self.relays.sheltered.unwrap_or(self.now);
+        self.now.0.saturating_sub(last.0)
+    }
+
+    pub(crate) fn note_start(&mut self) {
+        let now = self.now;
+        self.relays.sheltered.get_or_insert(now);
+    }
+
+    /// Whether every other controller of a zone has said, after `over`, that it had
+    /// kept no worker alive for a whole lease. What it did since doesn't matter: by
+    /// then the lease that ended at `over` had ended, and nothing revives it.
+    pub(crate) fn nobody_sheltered(&self, zone: &str, over: Time, lease_s: f64) -> bool {
+        let siblings = self.settings.platform.siblings.iter();
+        let mut local = siblings.filter(|s| s.site == zone);
+        local.all(|s| {
+            let Some((hello, _)) = self.siblings.get(&s.member) else {
+                return false;
+            };
+            let me = &self.settings.platform.member;
+            let mut echoes = hello.echoes.iter();
+            let echo = echoes.find(|(m, boot, _)| m == me && *boot == self.boot);
+            let after = echo.is_some_and(|(_, _, at)| Time(*at) >= over);
+            after && hello.sheltered_ms as f64 / 1000.0 >= lease_s
+        })
+    }
+
+    /// Whether a zone has a controller besides this one, which may shelter its workers.
+    pub(crate) fn has_shelter(&self, zone: &str) -> bool {
+        let mut siblings = self.settings.platform.siblings.iter();
+        siblings.any(|s| s.site == zone)
+    }
+}
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -13,13 +13,15 @@
 use super::*;
 use log::{debug, info, warn};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// A start is sent this often before its placement is given up.
 const SENDS_MAX: u32 = 4;
 /// After `cancel_s` times this, a machine that may still run a withdrawn task is
 /// deleted; the rest of the time is for the cloud to answer.
 const CANCEL_SHARE: f64 = 0.6;
-const VOUCHED_SHARE: f64 = 0.85;
+/// The same in a zone that is cut off; cuts mostly end sooner.
+const CUT_CANCEL_SHARE: f64 = 2.0;
 /// Without any report for this many report intervals, a holder whose machines all
 /// reported before takes itself to be cut off from them.
 const DEAF_REPORTS: f64 = 5.0;
@@ -27,10 +29,11 @@
 /// given up after so many leases.
 const FEW_SHARE: f64 = 0.15;
 const MASS_SILENT: f64 = 4.0;
-const VOUCHED_SILENT: f64 = 9.0;
+/// Machines that may be sheltered are given up after so many.
+const SHELTERED_SILENT: f64 = 9.0;
 /// A zone is taken to be cut off when this share of its machines, and at least so
 /// many, have missed so many reports.
-const CUT_SHARE: f64 = 0.5;
+const CUT_SHARE: f64 = 0.25;
 const CUT_LEAST: usize = 3;
 const CUT_REPORTS: f64 = 3.0;
 /// A machine that never showed this block's number, with tasks on it, is deleted after
@@ -47,86 +50,8 @@
 /// Names of deleted machines are kept for late copies of their reports.
 const GONE_S: f64 = 900.0;
 
-/// A report whose machine's holder is down.
-#[derive(Debug)]
-pub(crate) struct LostReport {
-    pub(crate) req: ReqId,
-    id: MachineId,
-    report: Report,
-    since: Time,
-}
-
-/// How long such a report waits at most, in seconds, and how many do at once.
-const LOST_S: f64 = 3.0;
-const LOST_MAX: usize = 400;
-
 impl Core {
-    /// Sends a worker to its block's holder, if it is known.
-    pub(crate) fn steer(&mut self, req: ReqId, machine: &MachineId) {
-        // A blind node names nobody that may be dead: it would send its workers back
-        // and forth while their leases run out.
-        let blind = self.blind();
-        let holder = self.holder_of(machine);
-        let holder = holder.filter(|h| !blind || self.lively(h));
-        self.answer(req, Reply::ok(421, steer_body(holder.as_ref())));
-    }
-
-    /// Longest time without sight of the state service in which reports are still
-    /// answered. A task cancelled meanwhile, unknown to us, must be gone in time even
-    /// if the last answer we gave keeps its worker's lease alive for all of it.
-    fn blind_limit_s(&self) -> f64 {
-        let w = &self.settings.platform.facts.workers;
-        w.cancel_s - w.lease_s * (1.0 + DRIFT) - MARGIN_S
-    }
-
-    pub(crate) fn on_report(&mut self, req: ReqId, report: Report) {
-        self.worker_heard = self.now;
-        let id = MachineId::from(report.machine.as_str());
-        let mine = self
-            .parked
-            .iter()
-            .find(|(_, h)| h.machines.contains_key(&id));
-        let whole = |h: &&Holder| h.whole;
-        let block = mine.map(|(k, _)| *k);
-        let block = block.or_else(|| self.parked.values().find(whole).map(|h| h.block));
-        if let Some(block) = block {
-            return self.in_block(block, |core| core.on_block_report(req, &id, report));
-        }
-        self.note_stray(&id, &report);
-        if let Some(reply) = self.vouch(&id, &report) {
-            return self.answer(req, reply);
-        }
-        let known = self.holder_of(&id).is_some_and(|h| self.reachable(&h));
-        let starting = !self.listed;
-        if known || (self.blind() && !starting) || self.lost_reports.len() >= LOST_MAX {
-            return self.steer(req, &id);
-        }
-        let since = self.now;
-        let lost = LostReport {
-            req,
-            id,
-            report,
-            since,
-        };
-        self.lost_reports.push_back(lost);
-    }
-
-    /// While the holder is down, a worker that is sent there, or on to the next node,
-    /// loses a second each time. Its report waits here until there is a new holder,
-    /// this node or another, and no longer than the worker does.
-    pub(crate) fn steer_lost_reports(&mut self) {
-        for lost in std::mem::take(&mut self.lost_reports) {
-            if self.now.since(lost.since) < LOST_S {
-                self.on_report(lost.req, lost.report);
-            } else {
-                self.steer(lost.req, &lost.id);
-            }
-        }
-    }
-
-    fn on_block_report(&mut self, req: ReqId, id: &MachineId, report: Report) {
-        let blind = self.blind_s();
-        let limit = self.blind_limit_s();
+    pub(crate) fn on_block_report(&mut self, req: ReqId, id: &MachineId, report: Report) {
         let now = self.now;
         let Some(h) = &mut self.holder else {
             return;
@@ -136,9 +61,6 @@
         if report.number > h.number.0 {
             return self.steer(req, id);
         }
-        if blind > limit {
-            return self.answer(req, Reply::later(503, 1, "cut off from the state service"));
-        }
         if h.gone.contains_key(id) {
             return self.answer(req, Reply::later(503, 5, "this machine is deleted"));
         }
@@ -508,7 +430,6 @@
         self.check_leases();
         self.check_cancels();
         self.check_silent();
-        self.check_cut_zones();
         self.drain();
         self.consolidate();
         self.doom_unborn();
@@ -519,9 +440,10 @@
         }
     }
 
-    /// A holder that hears none of its machines, while they report to a sibling, is cut
-    /// off from them and lets another controller try. When nobody hears them it is
-    /// they who are gone, and giving up would only put off their replacement.
+    /// A holder that hears none of its machines, while they report to a sibling, or no
+    /// sibling either, is cut off from them and lets another controller try. When siblings
+    /// hear none of them it is they who are gone, and giving up would only put off their
+    /// replacement.
     fn check_deaf(&mut self) {
         let w = &self.settings.platform.facts.workers;
         let patience = w.report_s * DEAF_REPORTS;
@@ -531,7 +453,7 @@
         let up = h.machines.values().filter(|m| m.up.is_some()).count();
         let settled = self.now.since(h.since) > FIRST_REPORT_S;
         let deaf = up >= 2 && settled && self.now.since(h.heard) > patience;
-        if deaf && !self.blind() && self.sibling_hears() {
+        if deaf && !self.blind() && (self.sibling_hears() || self.unheard()) {
             self.resign("no worker reaches it");
         }
     }
@@ -540,19 +462,21 @@
     fn check_leases(&mut self) {
         let lease = self.settings.platform.facts.workers.lease_s * (1.0 + DRIFT) + MARGIN_S;
         let (now, fresh) = (self.now, self.fresh_at);
-        let Some(h) = &mut self.holder else {
+        let Some(h) = &self.holder else {
             return;
         };
         let mut lost = Vec::new();
         for (id, m) in &h.machines {
             let over = m.answered.after(lease);
             // The read was sent after the lease's end, and the block is still ours.
-            let vouched = h.vouch.iter().any(|z| **z == *m.zone);
-            let known = m.shown && m.held.is_none() && !vouched;
-            if known && !m.tasks.is_empty() && fresh > over && now > over {
+            let known = m.shown && m.held.is_none() && !m.tasks.is_empty();
+            if known && fresh > over && now > over && self.nobody_sheltered(&m.zone, over, lease) {
                 lost.push((id.clone(), m.tasks.iter().cloned().collect::<Vec<_>>()));
             }
         }
+        let Some(h) = &mut self.holder else {
+            return;
+        };
         for (id, tasks) in lost {
             warn!(
                 "the lease of machine {id} is over, with {} tasks",
@@ -568,7 +492,9 @@
         }
     }
 
-    /// Deletes machines that may still run a withdrawn task when its time runs out.
+    /// Deletes machines that may still run a withdrawn task, where nothing else proves it
+    /// gone: its user is told only then. Machines of a zone that is cut off get longer,
+    /// for all that runs beside it would be lost as well.
     fn check_cancels(&mut self) {
         let cancel_s = self.settings.platform.facts.workers.cancel_s;
         let now = self.now;
@@ -581,10 +507,8 @@
                 continue;
             };
             for p in live.placed.values() {
-                // Whoever keeps a worker alive halts such tasks; time is given for
-                // the cut to end before the machine is lost for the proof alone.
-                let vouched = h.vouch.iter().any(|z| **z == *p.zone);
-                let share = if vouched { VOUCHED_SHARE } else { CANCEL_SHARE };
+                let cut = h.cut_zones.contains(&p.zone);
+                let share = if cut { CUT_CANCEL_SHARE } else { CANCEL_SHARE };
                 if now.since(at) > cancel_s * share {
                     late.insert(p.machine.clone());
                 }
@@ -603,6 +527,12 @@
         let w = &self.settings.platform.facts.workers;
         let (lease_s, silent_s) = (w.lease_s, w.lease_s * self.settings.tuning.silent);
         let (now, blind) = (self.now, self.blind());
+        let cut_zones = self.find_cut_zones();
+        let sheltered: BTreeSet<Rc<str>> = cut_zones
+            .iter()
+            .filter(|z| self.has_shelter(z))
+            .cloned()
+            .collect();
         let Some(h) = &mut self.holder else {
             return;
         };
@@ -618,24 +548,24 @@
                 } else {
                     UNPROVABLE * lease_s
                 };
-                silent.push((id.clone(), quiet, patience));
+                silent.push((id.clone(), quiet, patience, sheltered.contains(&m.zone)));
             }
         }
-        let vouched = !h.vouch.is_empty();
+        h.cut_zones = cut_zones;
         let calm = h.cut_at;
-        if h.cut || vouched {
+        h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
+        if h.cut || !h.cut_zones.is_empty() {
             h.cut_at = now;
         }
-        h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
         if blind {
             return;
         }
-        let least = match (h.cut, vouched) {
-            (false, _) => 0.0,
-            (true, false) => MASS_SILENT * lease_s,
-            (true, true) => VOUCHED_SILENT * lease_s,
-        };
-        for (id, quiet, patience) in silent {
+        for (id, quiet, patience, sheltered) in silent {
+            let least = match (h.cut, sheltered) {
+                (_, true) => SHELTERED_SILENT * lease_s,
+                (true, false) => MASS_SILENT * lease_s,
+                (false, false) => 0.0,
+            };
             // When a cut ends, those who come back last aren't taken for dead.
             let late = h.cut || now.since(calm) > patience;
             if quiet > patience.max(least) && late {
@@ -644,96 +574,26 @@
         }
     }
 
-    /// Lets the other controllers keep the workers of a zone alive that can't reach
-    /// this holder, and takes that back when they report again.
-    ///
-    /// Why it is safe: others answer without starts, only under this number, only with
-    /// sight of the state service and of this permission, and halt what is cancelled.
-    /// While it stands, no lease of that zone proves a task gone; afterwards leases
-    /// count from when the last of them must have learnt that it is over.
-    fn check_cut_zones(&mut self) {
-        let w = &self.settings.platform.facts.workers;
-        let (now, quiet_s) = (self.now, w.report_s * CUT_REPORTS);
-        let blind = self.blind();
-        let key = match &self.holder {
-            Some(h) if !h.vouch_busy && !blind => Key::Block(h.block),
-            _ => return,
-        };
-        let Some(h) = &mut self.holder else {
-            return;
+    /// Zones of which so many machines have missed their reports that they must be cut
+    /// off. Their own controllers keep them alive.
+    fn find_cut_zones(&self) -> BTreeSet<Rc<str>> {
+        let quiet_s = self.settings.platform.facts.workers.report_s * CUT_REPORTS;
+        let Some(h) = &self.holder else {
+            return BTreeSet::new();
         };
-        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for m in h.machines.values().filter(|m| m.session > 0) {
+        let mut zones: BTreeMap<&Rc<str>, (usize, usize)> = BTreeMap::new();
+        let staying = |m: &&Machine| m.up.is_some() && m.notice.is_none() && m.doomed.is_none();
+        for m in h.machines.values().filter(staying) {
             let count = zones.entry(&m.zone).or_default();
             count.0 += 1;
-            let quiet = m.held.is_none() && now.since(m.seen) > quiet_s;
-            count.1 += usize::from(quiet);
+            let quiet = self.now.since(m.seen.max(h.since)) > quiet_s;
+            count.1 += usize::from(quiet && m.held.is_none());
         }
         let cut = |(all, quiet): (usize, usize)| {
             quiet >= CUT_LEAST && quiet as f64 >= CUT_SHARE * all as f64
         };
-        let cut_off = zones.iter().filter(|(_, count)| cut(**count));
-        let cut_off: Vec<String> = cut_off.map(|(zone, _)| zone.to_string()).collect();
-        let slot = match &key {
-            Key::Block(block) => self.cache.blocks.get(block).cloned(),
-            _ => None,
-        };
-        let Some(slot) = slot.filter(|s| s.mark == h.block_mark && h.vouch != cut_off) else {
-            return;
-        };
-        let Some(mut rec) = slot.rec else {
-            return;
-        };
-        info!("zones that can't reach this holder: {cut_off:?}");
-        rec.vouch = cut_off;
-        h.vouch_busy = true;
-        let op = StateOp::Commit {
-            when: vec![(key.clone(), slot.mark)],
-            writes: vec![Write::put(key, Record::Block(rec))],
-        };
-        if self
-            .state_call(op, Purpose::Vouch, Priority::First)
-            .is_err()
-        {
-            self.on_vouch_written();
-        }
-    }
-
-    /// Whatever the answer is, the follow brings the record as it stands.
-    pub(crate) fn on_vouch_written(&mut self) {
-        if let Some(h) = &mut self.holder {
-            h.vouch_busy = false;
-        }
-    }
-
-    /// The answer that keeps a worker alive for a holder that it can't reach: without
-    /// starts, but with halts for what is cancelled or over. `None` where that isn't
-    /// allowed, or the holder can be reached after all.
-    fn vouch(&self, id: &MachineId, report: &Report) -> Option<Reply> {
-        if self.blind() {
-            return None;
-        }
-        let mut recs = self.cache.blocks.values().filter_map(|b| b.rec.as_ref());
-        let rec = recs.find(|b| b.has(id))?;
-        let allowed = rec.vouch.contains(&report.zone) && report.number <= rec.number.0;
-        if !allowed || self.reachable(&rec.holder) {
-            return None;
-        }
-        let over = |task: &TaskId| {
-            let job = self.cache.jobs.get(&task.job);
-            job.is_none_or(|j| j.withdrawn.is_some())
-        };
-        let halts = report.tasks.iter().filter_map(|t| {
-            let task = TaskId::parse(&t.task)?;
-            let runs = t.stance != TaskStance::Ended;
-            (runs && over(&task)).then(|| Command::Halt {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0.0,
-            })
-        });
-        let halts: Vec<Command> = halts.collect();
-        Some(Reply::ok(200, commands_body(rec.number, &halts)))
+        let cut_off = zones.into_iter().filter(|(_, count)| cut(*count));
+        cut_off.map(|(zone, _)| zone.clone()).collect()
     }
 
     /// Tasks on machines that are about to go are stopped: at once where they can
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,7 @@
 //! The `polling` loop: sockets, timers, reconnects. It turns bytes into the core's
 //! inputs and carries out its outputs.
 
-use crate::core::{Ask, CallId, Core, Input, Output, Reply, ReqId};
+use crate::core::{Ask, CallId, Core, Input, Link, Output, Reply, ReqId};
 use crate::http::{self, Decoder, HttpError, Message, Side};
 use crate::ids::{JobId, Member, Time};
 use crate::peer;
@@ -27,7 +27,7 @@
 const CLOUD_CONNS: usize = 4;
 /// Most bytes that wait to be written to one connection.
 const OUT_MAX: usize = 1 << 20;
-const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
+const PEER_OUT_MAX: usize = 8 * peer::MESSAGE_MAX;
 /// A whole request has to come within this time.
 const REQUEST_S: f64 = 10.0;
 /// Quiet connections are closed after this time, or sooner when sockets are short.
@@ -67,6 +67,8 @@
     },
     PeerOut {
         to: Member,
+        /// Whether the connection stands.
+        made: bool,
     },
 }
 
@@ -78,6 +80,8 @@
     writing: bool,
     /// When something last came or, for a new connection, when it was opened.
     active: Time,
+    /// The other side refused the connection.
+    refused: bool,
 }
 
 /// A call to an outside service under way.
@@ -344,6 +348,7 @@
             out: Vec::new(),
             writing: false,
             active: self.now(),
+            refused: false,
         };
         self.conns.insert(key, conn);
         Some(key)
@@ -379,21 +384,51 @@
                 }
                 self.start_queued(service);
             }
-            Role::PeerOut { to } => {
+            Role::PeerOut { to, .. } => {
                 self.peers.remove(to);
+                let link = if conn.refused {
+                    Link::Refused
+                } else {
+                    Link::Lost
+                };
+                self.inputs.push_back(Input::Link(to.clone(), link));
             }
         }
     }
 
     fn ready(&mut self, key: usize, event: Event, buf: &mut [u8]) {
-        if event.writable && !self.flush(key) {
-            return self.close(key);
+        if event.writable {
+            self.check_link(key);
+            if !self.flush(key) {
+                return self.close(key);
+            }
         }
         if event.readable || event.is_err() == Some(true) {
             self.read(key, buf);
         }
     }
 
+    /// Notes whether a connection to a sibling was made or refused.
+    fn check_link(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let Role::PeerOut { to, made } = &mut conn.role else {
+            return;
+        };
+        if *made {
+            return;
+        }
+        match conn.stream.take_error() {
+            Ok(None) if conn.stream.peer_addr().is_ok() => {
+                *made = true;
+                self.inputs.push_back(Input::Link(to.clone(), Link::Up));
+            }
+            Ok(Some(e)) => conn.refused = e.kind() == ErrorKind::ConnectionRefused,
+            _ => {}
+        }
+    }
+
     fn read(&mut self, key: usize, buf: &mut [u8]) {
         let now = self.now();
         loop {
@@ -771,7 +806,7 @@
                     self.peer_retry.insert(s.member.clone(), wait);
                     let to = s.member.clone();
                     let opened = open(s.endpoint).ok();
-                    match opened.and_then(|o| self.add(o, Role::PeerOut { to })) {
+                    match opened.and_then(|o| self.add(o, Role::PeerOut { to, made: false })) {
                         Some(key) => {
                             self.peers.insert(s.member.clone(), key);
                             key
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,11 +1,13 @@
 //! What controllers tell each other: `postcard` behind a length and a version.
 //! Nothing a rule depends on travels here; it only makes the right thing come sooner.
 
-use crate::ids::{MachineId, Member, Number};
+use crate::core::ReqId;
+use crate::ids::{Attempt, MachineId, Member, Number};
+use crate::wire::{Cause, Num, Report, ReportTask, TaskStance};
 use serde::{Deserialize, Serialize};
 
 /// Raised when a message changes its form; other versions are dropped.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Most bytes of one message.
 pub const MESSAGE_MAX: usize = 16 * 1024;
 
@@ -13,6 +15,8 @@
 pub enum Message {
     Hello(Hello),
     Tally(Box<Tally>),
+    Beat(Box<Beat>),
+    BeatAnswer(BeatAnswer),
 }
 
 /// What a controller says of itself about once a second.
@@ -33,6 +37,88 @@
     pub heard: bool,
     /// Whether it holds a block whose workers have stopped reporting to it.
     pub deaf: bool,
+    /// Whether it can hand reports on to the holder.
+    pub relays: bool,
+    /// The sender's clock, in milliseconds.
+    pub at_ms: u64,
+    /// The clock and the process of the latest message like this one from each sibling.
+    pub echoes: Vec<(Member, u64, u64)>,
+    /// How long ago it last answered a worker in a holder's place, in milliseconds.
+    pub sheltered_ms: u64,
+}
+
+/// A worker's report, handed on to its block's holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    pub from: Member,
+    pub boot: u64,
+    /// The sender's request, for the answer.
+    pub req: u64,
+    machine: String,
+    endpoint: String,
+    class: String,
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    number: u64,
+    notice_s: Option<f64>,
+    tasks: Vec<(String, Attempt, TaskStance, Option<Cause>)>,
+}
+
+impl Beat {
+    pub fn new(from: &Member, boot: u64, req: ReqId, report: &Report) -> Self {
+        let tasks = report.tasks.iter();
+        let tasks = tasks.map(|t| (t.task.clone(), t.attempt, t.stance, t.cause));
+        Self {
+            from: from.clone(),
+            boot,
+            req: req.0,
+            machine: report.machine.clone(),
+            endpoint: report.endpoint.clone(),
+            class: report.class.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            session: report.session,
+            seq: report.seq,
+            number: report.number,
+            notice_s: report.notice_s.map(|n| n.0),
+            tasks: tasks.collect(),
+        }
+    }
+
+    pub fn report(self) -> Report {
+        let tasks = self.tasks.into_iter();
+        let tasks = tasks.map(|(task, attempt, stance, cause)| ReportTask {
+            task,
+            attempt,
+            stance,
+            cause,
+        });
+        Report {
+            machine: self.machine,
+            endpoint: self.endpoint,
+            class: self.class,
+            zone: self.zone,
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            number: self.number,
+            notice_s: self.notice_s.map(Num),
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+/// The answer to a report that was handed on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BeatAnswer {
+    /// The process that asked, and its request.
+    pub boot: u64,
+    pub req: u64,
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after: Option<u32>,
 }
 
 /// What a block's holder counts for the leader.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,6 +42,9 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Sibling {
     pub member: Member,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
     pub endpoint: SocketAddrV4,
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -260,7 +260,7 @@
     pub cause: Option<Cause>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TaskStance {
     Fetching,
@@ -269,7 +269,7 @@
     Ended,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     Done,
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -325,6 +325,10 @@
         blind_ms: 40,
         heard: false,
         deaf: false,
+        relays: true,
+        at_ms: 7,
+        echoes: vec![("n1".into(), 3, 5)],
+        sheltered_ms: 9,
     });
     let framed = peer::frame(&hello);
     let mut buf = [framed.clone(), framed[..4].to_vec()].concat();
@@ -334,7 +338,11 @@
         peer::unframe(&mut vec![0xff, 0xff, 1]).is_err(),
         "too large"
     );
-    assert!(peer::unframe(&mut vec![0, 1, 1, 9]).is_err(), "malformed");
+    let version = framed[2];
+    assert!(
+        peer::unframe(&mut vec![0, 1, version, 9]).is_err(),
+        "malformed"
+    );
     let mut other_version = vec![0, 1, 99, 9];
     assert_eq!(peer::unframe(&mut other_version), Ok(None));
     assert!(other_version.is_empty(), "another version is passed over");
--- a/tests/sim/checker.rs
+++ b/tests/sim/checker.rs
@@ -104,6 +104,10 @@
             Said::Unknown | Said::Refused if before.accepted => {
                 self.fault(now, "forgotten", format!("{id} is {said:?}"));
             }
+            // More than the rule asks for, and what its proof rests on here.
+            Said::Withdrawn if before.withdrawn_at.is_none() && self.runs(id) => {
+                self.fault(now, "told_early", format!("{id} still runs"));
+            }
             Said::Done if !all => self.fault(now, "not_done", format!("{id} is called done")),
             Said::Withdrawn if !asked => {
                 self.fault(
@@ -122,6 +126,11 @@
         }
     }
 
+    fn runs(&self, id: &JobId) -> bool {
+        let mut tasks = self.on.range(first(id)..);
+        tasks.next().is_some_and(|(t, _)| t.job == *id)
+    }
+
     /// A task is on a machine from now on.
     pub fn starts(&mut self, now: u64, task: &TaskId, place: Place) {
         self.starts += 1;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use salttrestle::core::records::Room;
-use salttrestle::core::{CallId, Core, Input, Output, Reply, ReqId};
+use salttrestle::core::{CallId, Core, Input, Link, Output, Reply, ReqId};
 use salttrestle::ids::{JobId, Time};
 use salttrestle::settings::{Platform, Settings, Tuning};
 use salttrestle::wire::{self, ClassInfo, CloudOp, CloudReply, StateOp, StateReply};
@@ -89,6 +89,12 @@
     rng: StdRng,
     pub nodes: Vec<Node>,
     pub members: Vec<String>,
+    /// Nodes refuse each other's connections until then.
+    peers_refuse_until: u64,
+    /// Nodes whose connection to another was refused last.
+    refused_links: BTreeSet<(usize, usize)>,
+    /// Nodes stand in them in turn.
+    zones: Vec<String>,
     platform: serde_json::Value,
     tuning: String,
     pub state: StateService,
@@ -228,6 +234,9 @@
             rng: StdRng::seed_from_u64(value("seed", 1.0) as u64),
             nodes: nodes.collect(),
             members,
+            peers_refuse_until: 0,
+            refused_links: BTreeSet::new(),
+            zones,
             platform,
             tuning,
             state: StateService {
@@ -369,12 +378,13 @@
         let siblings: Vec<_> = (0..self.members.len())
             .filter(|m| *m != n)
             .map(|m| {
-                serde_json::json!({"member": self.members[m], "site": "a",
+                serde_json::json!({"member": self.members[m], "site": self.zones[m % self.zones.len()],
                     "endpoint": format!("10.0.0.{}:8081", m + 1)})
             })
             .collect();
         let mut p = self.platform.clone();
         p["member"] = self.members[n].clone().into();
+        p["site"] = self.zones[n % self.zones.len()].clone().into();
         p["listen"] = format!("10.0.0.{}:8080", n + 1).into();
         p["peer_listen"] = format!("10.0.0.{}:8081", n + 1).into();
         p["siblings"] = siblings.into();
@@ -454,7 +464,13 @@
                     let other = self.nodes[m].boot;
                     let cut = self.cut(m, Far::Peers).is_some();
                     let meant = to.as_ref().is_none_or(|t| t.as_str() == self.members[m]);
-                    if m != n && !cut && meant {
+                    if m != n && meant && self.now < self.peers_refuse_until {
+                        self.refused_links.insert((n, m));
+                        self.link(n, m, Link::Refused);
+                    } else if m != n && !cut && meant {
+                        if self.refused_links.remove(&(n, m)) {
+                            self.link(n, m, Link::Up);
+                        }
                         let input = Input::Peer(message.clone());
                         self.cross(n, Far::Peers, 2, Ev::Node(m, other, input));
                     }
@@ -463,6 +479,12 @@
         }
     }
 
+    fn link(&mut self, n: usize, to: usize, link: Link) {
+        let input = Input::Link(self.members[to].as_str().into(), link);
+        let boot = self.nodes[n].boot;
+        self.after(1, Ev::Node(n, boot, input));
+    }
+
     /// Whether a worker and a node can't reach each other.
     fn parted(&self, n: usize, id: &str) -> bool {
         let zone = self.workers.get(id).map(|w| &w.zone);
@@ -718,6 +740,7 @@
                 self.wake_followers();
             }
             "restore" => self.cloud.outage = false,
+            "peers-refuse" => self.peers_refuse_until = until,
             "lose-commits" => self.lose_commits = args[0].parse().expect("a count"),
             "copies" => self.copies = Some((ms(num(args, "delay", 5.0)), until)),
             "forget-log" => self.state.kept = args[0].parse().expect("a count"),
