Room is kept where images are that services will ask for; job's class in the log

Done: placing a task where it takes the room of an image's next start costs what that start would lose, shared among the machines that are ready for it; delays are weighed by what the class is expected to take.

--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -343,7 +343,7 @@
         for s in list {
             match &reply {
                 StateReply::Committed { .. } => {
-                    info!("job {} accepted", s.id);
+                    info!("job {} accepted: {} of {}", s.id, s.rec.count, s.rec.class);
                     let body = stance_body(&s.id, Stance::Queued, 0, 0);
                     self.answer(s.req, Reply::ok(201, body));
                 }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -78,6 +78,30 @@
     pub placed: Vec<(u32, Attempt)>,
 }
 
+/// What is known of an image that services use.
+#[derive(Debug)]
+pub(crate) struct Ware {
+    pub(crate) class: String,
+    pub(crate) gb: f64,
+    /// What a task of the job that used it last takes.
+    pub(crate) need: Room,
+    /// Jobs that came with it, older ones counting less, and when that was reckoned.
+    uses: f64,
+    at: Time,
+}
+
+/// Half of the jobs that came so long ago are forgotten.
+const USE_HALF_S: f64 = 300.0;
+/// Most images remembered; the least used are forgotten first.
+const WARES_MAX: usize = 256;
+
+impl Ware {
+    /// How much it is asked for now.
+    pub(crate) fn asked(&self, now: Time) -> f64 {
+        self.uses * 0.5f64.powf(now.since(self.at) / USE_HALF_S)
+    }
+}
+
 /// A machine of the block.
 #[derive(Debug)]
 pub struct Machine {
@@ -147,6 +171,8 @@
     pub jobs: BTreeMap<JobId, Live>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub(crate) teams: HashMap<String, Room>,
+    /// Images of services.
+    pub(crate) wares: HashMap<Image, Ware>,
     /// Jobs with queued tasks.
     pub(crate) waiting: BTreeSet<JobId>,
     pub(crate) place_wanted: bool,
@@ -191,6 +217,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: HashMap::new(),
+            wares: HashMap::new(),
             waiting: BTreeSet::new(),
             place_wanted: true,
             place_at: now,
@@ -263,6 +290,29 @@
         Attempt::new(self.number, self.count)
     }
 
+    /// Takes note of the image that a service comes with.
+    fn note_ware(&mut self, now: Time, rec: &JobRec) {
+        if rec.form != Form::Service {
+            return;
+        }
+        let known = self.wares.get(&rec.image);
+        let ware = Ware {
+            class: rec.class.clone(),
+            gb: rec.image_gb,
+            need: rec.need,
+            uses: 1.0 + known.map_or(0.0, |w| w.asked(now)),
+            at: now,
+        };
+        self.wares.insert(rec.image.clone(), ware);
+        if self.wares.len() > WARES_MAX {
+            let all = self.wares.iter();
+            let least = all.min_by(|a, b| a.1.asked(now).total_cmp(&b.1.asked(now)));
+            if let Some(image) = least.map(|(image, _)| image.clone()) {
+                self.wares.remove(&image);
+            }
+        }
+    }
+
     /// Enters a placement: its room and quota count from now on.
     pub(crate) fn put(&mut self, job: &JobId, index: u32, placement: Placement) {
         let Some(live) = self.jobs.get_mut(job) else {
@@ -463,6 +513,7 @@
             doubts.extend(run.placed.iter().cloned());
         }
         let withdrawn = live.withdrawn.is_some();
+        h.note_ware(now, &job.rec);
         h.jobs.insert(id.clone(), live);
         for (index, attempt, machine, zone) in doubts {
             if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -12,7 +12,9 @@
 const PLACE_EVERY_S: f64 = 0.5;
 /// A machine that hasn't reported for this many report intervals gets no tasks.
 const FRESH_REPORTS: f64 = 3.5;
-/// Weights of a placement's cost, in seconds of a start's delay.
+/// Weights of a placement's cost. A start that is as late as its class allows costs the
+/// first of them.
+const DELAY_COST: f64 = 12.0;
 const SPREAD_COST: f64 = 4.0;
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
@@ -62,6 +64,7 @@
         }
         turns.sort();
         let mut round = Round {
+            wares: ready_wares(h, &self.catalog, &self.settings, now),
             full: full_pools(h, &self.catalog, self.settings.tuning.headroom),
             left: ROUND_MAX,
             failed: Vec::new(),
@@ -101,7 +104,7 @@
             let Some(index) = h.jobs.get_mut(id).and_then(Live::next_queued) else {
                 return false;
             };
-            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id, &round.full) else {
+            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id, round) else {
                 if !rec.one_zone && !rec.scatter {
                     round.failed.push(rec);
                 }
@@ -110,7 +113,9 @@
             round.left -= 1;
             let attempt = h.next_attempt();
             let zone = h.machines[&machine].zone.clone();
-            debug!("task {id}/{index} goes to {machine}");
+            let class = &self.catalog[h.machines[&machine].class];
+            let wait_s = fetch_s(h, &rec, class, &h.machines[&machine]);
+            debug!("task {id}/{index} goes to {machine}, its image takes {wait_s:.1} s");
             let placement = Placement {
                 machine,
                 zone,
@@ -320,6 +325,7 @@
 }
 
 struct Round {
+    wares: Wares,
     full: Vec<usize>,
     left: usize,
     /// Demands that found no machine: others like them won't either.
@@ -445,7 +451,7 @@
     settings: &Settings,
     now: Time,
     id: &JobId,
-    full: &[usize],
+    round: &Round,
 ) -> Option<MachineId> {
     let live = h.jobs.get(id)?;
     let mut best: Option<(f64, &MachineId)> = None;
@@ -459,10 +465,10 @@
         }
         let young = now.since(live.since) < KEPT_S;
         let waits = young && live.rec.spot && live.rec.rank <= Rank::Normal;
-        if waits && !m.spot && full.contains(&m.class) {
+        if waits && !m.spot && round.full.contains(&m.class) {
             continue;
         }
-        let cost = cost(h, live, class, m);
+        let cost = cost(h, settings, live, class, m) + regret(&round.wares, live, class, m);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, name));
         }
@@ -470,10 +476,11 @@
     best.map(|(_, name)| name.clone())
 }
 
-fn cost(h: &Holder, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+fn cost(h: &Holder, settings: &Settings, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
     let rec = &live.rec;
     let free_share = 1.0 - m.used.share_of(class.room);
-    let mut cost = fetch_s(h, rec, class, m) + FREE_COST * free_share;
+    let delay = delay_cost(settings, &rec.class, class, fetch_s(h, rec, class, m));
+    let mut cost = delay + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
         let same = m
@@ -491,6 +498,60 @@
     cost
 }
 
+/// What a start's delay costs: little while it is small against what is expected of the
+/// job's class, much once it comes near. Classes of which nothing is expected are
+/// measured by the time a machine takes to boot.
+fn delay_cost(settings: &Settings, of: &str, class: &ClassInfo, delay_s: f64) -> f64 {
+    let wanted = settings.platform.facts.objectives.iter();
+    let wanted = wanted.filter(|o| o.kind == "wait" && o.class.as_deref() == Some(of));
+    let within = wanted.filter_map(|o| o.within_s).fold(f64::MAX, f64::min);
+    let within = if within < f64::MAX { within } else { class.ready_s };
+    DELAY_COST * (delay_s / within.max(1.0)).powi(2)
+}
+
+/// An image's worth on a machine that has it and has room for one of its tasks: what its
+/// next start would lose elsewhere, the less the more such machines there are.
+type Wares = HashMap<Image, (Room, f64)>;
+
+fn ready_wares(h: &Holder, catalog: &[ClassInfo], settings: &Settings, now: Time) -> Wares {
+    let most = h.wares.values().map(|w| w.asked(now)).fold(1e-9, f64::max);
+    let mut ready: HashMap<&Image, u32> = HashMap::new();
+    for m in h.machines.values().filter(|m| !m.spot) {
+        let Some(class) = catalog.get(m.class).filter(|_| usable(m, settings, now)) else {
+            continue;
+        };
+        let free = free_room(class, m);
+        for (image, _) in &m.images {
+            if h.wares.get(image).is_some_and(|w| free.holds(w.need)) {
+                *ready.entry(image).or_default() += 1;
+            }
+        }
+    }
+    let fetch_gb_s = catalog.iter().map(|c| c.fetch_gb_s).fold(f64::MAX, f64::min);
+    let worth = |(image, n): (&Image, u32)| {
+        let w = h.wares.get(image)?;
+        let cost = delay_cost(settings, &w.class, catalog.first()?, w.gb / fetch_gb_s);
+        let worth = cost * w.asked(now) / most / f64::from(n);
+        Some((image.clone(), (w.need, worth)))
+    };
+    ready.into_iter().filter_map(worth).collect()
+}
+
+/// What is lost when a task takes the room that a machine has for services whose images
+/// it holds.
+fn regret(wares: &Wares, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+    if m.spot {
+        return 0.0;
+    }
+    let before = free_room(class, m);
+    let mut after = before;
+    after.add(live.rec.need, -1.0);
+    let images = m.images.iter().filter(|(image, _)| *image != live.rec.image);
+    let wares = images.filter_map(|(image, _)| wares.get(image));
+    let lost = wares.filter(|(need, _)| before.holds(*need) && !after.holds(*need));
+    lost.map(|(_, worth)| worth).sum()
+}
+
 /// Seconds until the image would be there. Images fetched at once share the rate.
 fn fetch_s(h: &Holder, rec: &JobRec, class: &ClassInfo, m: &Machine) -> f64 {
     if m.has_image(&rec.image) {
