--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 
 /// A machine type's index in the catalogue, and whether it is spot.
-type Pool = (usize, bool);
+pub(crate) type Pool = (usize, bool);
 
 #[derive(Debug)]
 pub(crate) enum CloudPurpose {
@@ -602,8 +602,7 @@
         let by_running = self.running.ceil() as u32;
         let mut room = 0.0;
         if self.urgent {
-            let keep = (f64::from(self.busy) * t.headroom).max(1.0);
-            room = (keep - self.spare).max(0.0).ceil();
+            room = (self.keep - self.spare).max(0.0).ceil();
         }
         (by_queue.max(by_running) + room as u32).min(t.ceiling as u32)
     }
@@ -694,7 +693,12 @@
         let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
         for class in 0..catalog.len() {
             for spot in [false, true] {
-                counts.insert((class, spot), PoolCount::default());
+                let keep = self.keep((class, spot), catalog, settings.tuning.headroom, now);
+                let count = PoolCount {
+                    keep,
+                    ..PoolCount::default()
+                };
+                counts.insert((class, spot), count);
             }
         }
         for m in self.machines.values() {
@@ -840,7 +844,7 @@
 
 /// The pool on which a task counts: the smallest type that fits, spot where the
 /// job may use it. Where the cloud has nothing left, the next one.
-fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
+pub(crate) fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
     let mut pools: Vec<Pool> = Vec::new();
     for (class, info) in catalog.iter().enumerate() {
         let named = rec.types.as_ref().is_none_or(|t| t.contains(&info.name));
@@ -871,7 +875,7 @@
 }
 
 /// How many of a task one machine holds; at least one.
-fn per_machine(class: &ClassInfo, need: Room) -> f64 {
+pub(crate) fn per_machine(class: &ClassInfo, need: Room) -> f64 {
     let fit = |have: f64, need: f64| {
         if need > 0.0 {
             (have / need + 1e-6).floor()
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -138,8 +138,7 @@
     fn tally(&self) -> Option<Tally> {
         let h = self.holder.as_ref()?;
         let catalog = &self.catalog;
-        let plan = self.cache.plan.rec.as_ref();
-        let closed = plan.map_or(&[][..], |p| &p.closed);
+        let closed = self.cache.closed();
         let named = |class: usize| catalog.get(class).map(|c| c.name.clone());
         let pools = h
             .counts(catalog, &self.settings, closed, self.now)
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -2,6 +2,7 @@
 //! written. A placement is committed, on the condition that the block and the job
 //! are unchanged, before its start is sent to anyone.
 
+use super::autoscaler::{Pool, per_machine, pool_for};
 use super::health::Health;
 use super::*;
 use log::{debug, info, warn};
@@ -102,6 +103,46 @@
     }
 }
 
+/// How services' demand for a pool comes: the squares of the jobs' sizes, in machines,
+/// older ones counting less.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Bursts {
+    squares: f64,
+    at: Time,
+}
+
+/// Half of the demand that came so many boot times ago is forgotten.
+const BURST_HALF: f64 = 2.0;
+/// How many boot times a service is taken to run, where only those that run now are known.
+const LIFE: f64 = 5.0;
+
+impl Bursts {
+    fn faded(&self, now: Time, boot_s: f64) -> f64 {
+        self.squares * 0.5f64.powf(now.since(self.at) / (BURST_HALF * boot_s))
+    }
+
+    fn add(&mut self, now: Time, boot_s: f64, size: f64) {
+        self.squares = self.faded(now, boot_s) + size * size;
+        self.at = now;
+    }
+
+    /// What a new holder takes to have come before it: those that run came, and went,
+    /// at the rate at which they run their lives.
+    fn of_running(now: Time, squares: f64) -> Self {
+        Self {
+            squares: squares / LIFE * BURST_HALF / std::f64::consts::LN_2,
+            at: now,
+        }
+    }
+
+    /// The standard deviation of demand, jobs coming and going, over a boot time: what
+    /// may come on top before a machine rented for it is up.
+    pub(crate) fn deviation(&self, now: Time, boot_s: f64) -> f64 {
+        let per_boot = self.faded(now, boot_s) * std::f64::consts::LN_2 / BURST_HALF;
+        (2.0 * per_boot).sqrt()
+    }
+}
+
 /// A machine of the block.
 #[derive(Debug)]
 pub struct Machine {
@@ -171,6 +212,8 @@
     pub jobs: BTreeMap<JobId, Live>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub(crate) teams: HashMap<String, Room>,
+    /// How services' demand for each pool comes.
+    pub(crate) bursts: BTreeMap<Pool, Bursts>,
     /// Images of services.
     pub(crate) wares: HashMap<Image, Ware>,
     /// Jobs with queued tasks.
@@ -217,6 +260,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: HashMap::new(),
+            bursts: BTreeMap::new(),
             wares: HashMap::new(),
             waiting: BTreeSet::new(),
             place_wanted: true,
@@ -290,6 +334,41 @@
         Attempt::new(self.number, self.count)
     }
 
+    /// The pool of a service and its size there, in machines.
+    fn size(&self, catalog: &[ClassInfo], closed: &[Closed], rec: &JobRec) -> Option<(Pool, f64)> {
+        let pool = pool_for(catalog, rec, closed).filter(|_| rec.form == Form::Service)?;
+        let size = f64::from(rec.count) / per_machine(&catalog[pool.0], rec.need);
+        Some((pool, size))
+    }
+
+    /// Takes note of a job that came.
+    fn note_demand(&mut self, now: Time, catalog: &[ClassInfo], closed: &[Closed], rec: &JobRec) {
+        if let Some((pool, size)) = self.size(catalog, closed, rec) {
+            let bursts = self.bursts.entry(pool).or_default();
+            bursts.add(now, catalog[pool.0].ready_s, size);
+        }
+    }
+
+    /// Takes those that run for a sign of what comes.
+    fn guess_demand(&mut self, now: Time, catalog: &[ClassInfo], closed: &[Closed]) {
+        let mut squares: BTreeMap<Pool, f64> = BTreeMap::new();
+        for live in self.jobs.values().filter(|l| l.withdrawn.is_none()) {
+            if let Some((pool, size)) = self.size(catalog, closed, &live.rec) {
+                *squares.entry(pool).or_default() += size * size;
+            }
+        }
+        let guess = |(pool, sum)| (pool, Bursts::of_running(now, sum));
+        self.bursts = squares.into_iter().map(guess).collect();
+    }
+
+    /// Machines' worth of room to keep free for urgent starts.
+    pub(crate) fn keep(&self, pool: Pool, catalog: &[ClassInfo], headroom: f64, now: Time) -> f64 {
+        let boot_s = catalog.get(pool.0).map_or(1.0, |c| c.ready_s.max(1.0));
+        let bursts = self.bursts.get(&pool);
+        let deviation = bursts.map_or(0.0, |b| b.deviation(now, boot_s));
+        (headroom * deviation).max(1.0)
+    }
+
     /// Takes note of the image that a service comes with.
     fn note_ware(&mut self, now: Time, rec: &JobRec) {
         if rec.form != Form::Service {
@@ -477,6 +556,7 @@
             // Chunks without a job belong to no block; the first one's holder clears
             // them away.
             h.orphans = if block == 0 { orphans } else { Vec::new() };
+            h.guess_demand(self.now, &self.catalog, self.cache.closed());
             info!("took over {} jobs of block {block}", h.jobs.len());
         }
     }
@@ -513,6 +593,8 @@
             doubts.extend(run.placed.iter().cloned());
         }
         let withdrawn = live.withdrawn.is_some();
+        let closed = self.cache.closed();
+        h.note_demand(now, &self.catalog, closed, &job.rec);
         h.note_ware(now, &job.rec);
         h.jobs.insert(id.clone(), live);
         for (index, attempt, machine, zone) in doubts {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -175,6 +175,12 @@
         self.endings.get(id).copied()
     }
 
+    /// What the cloud has nothing left of, as the plan says.
+    pub fn closed(&self) -> &[Closed] {
+        let plan = self.plan.rec.as_ref();
+        plan.map_or(&[], |p| &p.closed)
+    }
+
     /// The chunks written for a job.
     pub fn chunks(&self, id: &JobId) -> impl Iterator<Item = (u32, &(u64, RunRec))> {
         self.runs
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -65,7 +65,7 @@
         turns.sort();
         let mut round = Round {
             wares: ready_wares(h, &self.catalog, &self.settings, now),
-            full: full_pools(h, &self.catalog, self.settings.tuning.headroom),
+            full: full_pools(h, &self.catalog, self.settings.tuning.headroom, now),
             left: ROUND_MAX,
             failed: Vec::new(),
         };
@@ -200,7 +200,7 @@
         let pressed = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.rec.rank > Rank::Normal);
         let open = !h.cut && !h.waiting.iter().any(pressed);
         let spare = if open {
-            spare_machines(h, &self.catalog, headroom)
+            spare_machines(h, &self.catalog, headroom, now)
         } else {
             BTreeSet::new()
         };
@@ -228,7 +228,12 @@
 /// The least used machines of each pool whose work would fit into the room that is
 /// free on the others, with the room for urgent starts kept. They get nothing new
 /// while there is another place for it; their batch tasks end by themselves.
-fn spare_machines(h: &Holder, catalog: &[ClassInfo], headroom: f64) -> BTreeSet<MachineId> {
+fn spare_machines(
+    h: &Holder,
+    catalog: &[ClassInfo],
+    headroom: f64,
+    now: Time,
+) -> BTreeSet<MachineId> {
     let mut pools: BTreeMap<(usize, bool), Vec<(f64, &MachineId)>> = BTreeMap::new();
     for (id, m) in &h.machines {
         let here = m.up.is_some() && m.doomed.is_none() && m.notice.is_none();
@@ -241,9 +246,9 @@
         }
     }
     let mut spare = BTreeSet::new();
-    for mut machines in pools.into_values() {
+    for (pool, mut machines) in pools {
         machines.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let keep = (machines.len() as f64 * headroom).max(1.0);
+        let keep = h.keep(pool, catalog, headroom, now);
         let mut free: f64 = machines.iter().map(|(share, _)| 1.0 - share).sum();
         for (share, id) in machines {
             // Its own room goes, and its work needs room on the others.
@@ -308,20 +313,19 @@
 
 /// The types whose ordinary machines have no more room than is kept for urgent starts.
 /// Work that may use spot machines waits for one rather than take that room.
-fn full_pools(h: &Holder, catalog: &[ClassInfo], headroom: f64) -> Vec<usize> {
-    let mut pools = vec![(0.0, 0.0); catalog.len()];
+fn full_pools(h: &Holder, catalog: &[ClassInfo], headroom: f64, now: Time) -> Vec<usize> {
+    let mut pools = vec![0.0; catalog.len()];
     for m in h
         .machines
         .values()
         .filter(|m| m.up.is_some() && m.doomed.is_none() && !m.spot)
     {
         if let Some(class) = catalog.get(m.class) {
-            pools[m.class].0 += 1.0;
-            pools[m.class].1 += 1.0 - m.used.share_of(class.room);
+            pools[m.class] += 1.0 - m.used.share_of(class.room);
         }
     }
-    let full = |(n, free): (f64, f64)| free < (n * headroom).max(1.0);
-    (0..catalog.len()).filter(|c| full(pools[*c])).collect()
+    let full = |c: &usize| pools[*c] < h.keep((*c, false), catalog, headroom, now);
+    (0..catalog.len()).filter(full).collect()
 }
 
 struct Round {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -277,7 +277,7 @@
             rise: num("scale.rise", 1.0, 50.0)?,
             ceiling: num("scale.ceiling", 1.0, 1e6)?,
             window_s: num("scale.window-s", 0.0, 3600.0)?,
-            headroom: num("scale.headroom", 0.0, 2.0)?,
+            headroom: num("scale.headroom", 0.0, 10.0)?,
             budget_share: num("budget.share", 0.05, 1.0)?,
             budget_holder: num("budget.holder", 0.1, 0.9)?,
             report_hold: num("report.hold", 0.0, 1.0)?,
