A new holder counts a cancellation's patience from its own start

When a cut ended, the last machines to come back were deleted in the same way. Ruled out: leases (the zone's controllers sheltered its workers all the time). Scenario: zone_cut_and_takeover lost tasks by deletion before.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -509,7 +509,11 @@
     let wanted = settings.platform.facts.objectives.iter();
     let wanted = wanted.filter(|o| o.kind == "wait" && o.class.as_deref() == Some(of));
     let within = wanted.filter_map(|o| o.within_s).fold(f64::MAX, f64::min);
-    let within = if within < f64::MAX { within } else { class.ready_s };
+    let within = if within < f64::MAX {
+        within
+    } else {
+        class.ready_s
+    };
     DELAY_COST * (delay_s / within.max(1.0)).powi(2)
 }
 
@@ -531,7 +535,10 @@
             }
         }
     }
-    let fetch_gb_s = catalog.iter().map(|c| c.fetch_gb_s).fold(f64::MAX, f64::min);
+    let fetch_gb_s = catalog
+        .iter()
+        .map(|c| c.fetch_gb_s)
+        .fold(f64::MAX, f64::min);
     let worth = |(image, n): (&Image, u32)| {
         let w = h.wares.get(image)?;
         let cost = delay_cost(settings, &w.class, catalog.first()?, w.gb / fetch_gb_s);
@@ -550,7 +557,10 @@
     let before = free_room(class, m);
     let mut after = before;
     after.add(live.rec.need, -1.0);
-    let images = m.images.iter().filter(|(image, _)| *image != live.rec.image);
+    let images = m
+        .images
+        .iter()
+        .filter(|(image, _)| *image != live.rec.image);
     let wares = images.filter_map(|(image, _)| wares.get(image));
     let lost = wares.filter(|(need, _)| before.holds(*need) && !after.holds(*need));
     lost.map(|(_, worth)| worth).sum()
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -496,7 +496,8 @@
     /// gone: its user is told only then. Machines of a zone that is cut off get longer,
     /// for all that runs beside it would be lost as well.
     fn check_cancels(&mut self) {
-        let cancel_s = self.settings.platform.facts.workers.cancel_s;
+        let w = &self.settings.platform.facts.workers;
+        let (cancel_s, lease_s) = (w.cancel_s, w.lease_s);
         let now = self.now;
         let Some(h) = &mut self.holder else {
             return;
@@ -507,9 +508,12 @@
                 continue;
             };
             for p in live.placed.values() {
-                let cut = h.cut_zones.contains(&p.zone);
+                // When a cut ends, the last ones to come back get time as well.
+                let cut = h.cut_zones.contains(&p.zone) || now.since(h.cut_at) < lease_s;
                 let share = if cut { CUT_CANCEL_SHARE } else { CANCEL_SHARE };
-                if now.since(at) > cancel_s * share {
+                // A new holder sees only after a while which zones are cut off. Counting
+                // from the cancellation, it deleted the machines of one at once.
+                if now.since(at.max(h.since)) > cancel_s * share {
                     late.insert(p.machine.clone());
                 }
             }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -119,6 +119,8 @@
     pub end: u64,
     /// Tasks killed because a lease ran out.
     pub killed: usize,
+    /// Tasks that were on machines when these were deleted.
+    pub deleted_tasks: usize,
 }
 
 type Args<'a> = &'a [String];
@@ -263,6 +265,7 @@
             script: Vec::new(),
             end: ms(value("end", 120.0)),
             killed: 0,
+            deleted_tasks: 0,
         };
         for l in many("machines") {
             for _ in 0..l[2].parse::<u32>().expect("a number") {
@@ -657,6 +660,8 @@
         let before = self.cloud.rigs.len();
         let (reply, gone) = self.cloud.execute(now, &op);
         for id in gone {
+            let tasks = self.workers.get(&id).map_or(0, |w| w.tasks.len());
+            self.deleted_tasks += tasks;
             self.end_worker(&id);
         }
         let fresh: Vec<(String, u64)> = self
