--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -716,16 +716,8 @@
             if hopeless || !within_limit(self, settings, &live.rec) {
                 continue;
             }
-            let pool = pool_for(catalog, &live.rec, closed);
-            let Some(pool) = pool else {
-                continue;
-            };
             let tasks = self.within_team(settings, live.queued(), &live.rec, &mut team_left);
-            let share = per_machine(&catalog[pool.0], live.rec.need);
-            if let Some(c) = counts.get_mut(&pool) {
-                c.queued += f64::from(tasks) / share;
-                c.urgent |= live.rec.form == Form::Service;
-            }
+            count_queued(catalog, &live.rec, closed, tasks, &mut counts);
         }
         counts
     }
@@ -842,9 +834,59 @@
     }
 }
 
+/// Counts a job's queued tasks. Where the cloud has nothing left they count on the next
+/// pool, but only those that the machines on their way there don't hold: counting them
+/// all rented a second fleet beside the first, when an empty one's first pool was full.
+fn count_queued(
+    catalog: &[ClassInfo],
+    rec: &JobRec,
+    closed: &[Closed],
+    tasks: u32,
+    counts: &mut BTreeMap<Pool, PoolCount>,
+) {
+    let mut left = f64::from(tasks);
+    let last = pool_for(catalog, rec, closed);
+    for pool in pools_for(catalog, rec) {
+        let Some(c) = counts.get_mut(&pool).filter(|_| left > 0.0) else {
+            continue;
+        };
+        let per = per_machine(&catalog[pool.0], rec.need);
+        let coming = f64::from(c.provisioned - c.busy) - c.queued;
+        let here = if Some(pool) == last {
+            left
+        } else {
+            left.min((coming.max(0.0) * per).floor())
+        };
+        c.queued += here / per;
+        c.urgent |= here > 0.0 && rec.form == Form::Service;
+        left -= here;
+        if Some(pool) == last {
+            return;
+        }
+    }
+}
+
 /// The pool on which a task counts: the smallest type that fits, spot where the
 /// job may use it. Where the cloud has nothing left, the next one.
 pub(crate) fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
+    let pools = pools_for(catalog, rec);
+    let open = |pool: &&Pool| {
+        let name = &catalog[pool.0].name;
+        let zones = &catalog[pool.0].zones;
+        let mut zones = zones
+            .iter()
+            .filter(|z| rec.zone.as_ref().is_none_or(|r| r == *z));
+        zones.any(|z| {
+            !closed
+                .iter()
+                .any(|c| c.0 == *name && c.1 == *z && c.2 == pool.1)
+        })
+    };
+    pools.iter().find(open).or(pools.first()).copied()
+}
+
+/// The pools that a task may use, in the order in which it counts on them.
+fn pools_for(catalog: &[ClassInfo], rec: &JobRec) -> Vec<Pool> {
     let mut pools: Vec<Pool> = Vec::new();
     for (class, info) in catalog.iter().enumerate() {
         let named = rec.types.as_ref().is_none_or(|t| t.contains(&info.name));
@@ -859,19 +901,7 @@
         let size = |p: &Pool| catalog[p.0].room.gpus + catalog[p.0].room.cpus / 1e3;
         b.1.cmp(&a.1).then(size(a).total_cmp(&size(b)))
     });
-    let open = |pool: &&Pool| {
-        let name = &catalog[pool.0].name;
-        let zones = &catalog[pool.0].zones;
-        let mut zones = zones
-            .iter()
-            .filter(|z| rec.zone.as_ref().is_none_or(|r| r == *z));
-        zones.any(|z| {
-            !closed
-                .iter()
-                .any(|c| c.0 == *name && c.1 == *z && c.2 == pool.1)
-        })
-    };
-    pools.iter().find(open).or(pools.first()).copied()
+    pools
 }
 
 /// How many of a task one machine holds; at least one.
