Batch work that saves its progress uses the room kept for urgent starts

Such work gives that room back within seconds and loses nothing by it. Done: only batch work without checkpoints leaves the kept room alone, and the room of work that saves counts as room.

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -786,6 +786,13 @@
         if free >= SPARE_SHARE {
             c.spare += free;
         }
+        // Batch work that saves its progress makes room for urgent starts at hardly any cost.
+        let yields = |t: &TaskId| {
+            let rec = &self.jobs.get(&t.job)?.rec;
+            let kept = rec.form == Form::Batch && rec.checkpoint_s > 0.0;
+            (kept && rec.rank <= Rank::Normal).then(|| rec.need.share_of(class.room))
+        };
+        c.spare += m.tasks.iter().filter_map(yields).sum::<f64>();
         let serves = |t: &TaskId| {
             let live = self.jobs.get(&t.job);
             live.is_some_and(|l| l.rec.form == Form::Service)
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -468,7 +468,8 @@
             continue;
         }
         let young = now.since(live.since) < KEPT_S;
-        let waits = young && live.rec.spot && live.rec.rank <= Rank::Normal;
+        let loses = live.rec.checkpoint_s <= 0.0;
+        let waits = young && loses && live.rec.spot && live.rec.rank <= Rank::Normal;
         if waits && !m.spot && round.full.contains(&m.class) {
             continue;
         }
