--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -60,9 +60,6 @@
     pub failed_on: BTreeSet<MachineId>,
     /// Room is being made by stopping others until then.
     pub preempting: Time,
-    /// So many tasks wait until then for room on machines that have their image;
-    /// `None` before that was tried.
-    pub promised: Option<(u32, Time)>,
 }
 
 /// What is written of a chunk.
@@ -511,7 +508,6 @@
             fails: 0,
             failed_on: BTreeSet::new(),
             preempting: now,
-            promised: None,
         }
     }
 
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -17,22 +17,11 @@
 const DELAY_COST: f64 = 12.0;
 const SPREAD_COST: f64 = 4.0;
 const FREE_COST: f64 = 3.0;
-const CROWD_COST: f64 = 8.0;
 const SPOT_GAIN: f64 = 8.0;
 const CLOSING_COST: f64 = 30.0;
 /// Batch work leaves the room kept for urgent starts alone for this long, in which a
 /// spot machine should have come up. Where none is to be had it mustn't wait for ever.
 const KEPT_S: f64 = 90.0;
-/// A fetch that costs this much makes a start late: better to stop others where the image
-/// is, for so many tasks of a job at once, and wait for their room so long.
-const LATE_COST: f64 = 0.5 * DELAY_COST;
-const PROMISES_MAX: u32 = 8;
-const PROMISE_S: f64 = 5.0;
-/// What stopping a task costs: a service, work that saves its progress, and what is lost of
-/// each second of work that doesn't.
-const SERVICE_LOSS: f64 = 2.0;
-const SAVED_LOSS: f64 = 1.5;
-const LOST_SHARE: f64 = 0.2;
 /// How long room made by stopping others is waited for before more is made.
 const PREEMPT_S: f64 = 6.0;
 /// A machine used no more than this may be emptied, if its replicas have run for a
@@ -109,9 +98,6 @@
             return true;
         }
         while round.left > 0 {
-            let Some(h) = &mut self.holder else {
-                return false;
-            };
             if !within_limit(h, &self.settings, &rec) {
                 return false;
             }
@@ -124,12 +110,6 @@
                 }
                 return true;
             };
-            if self.waits_for_image(id, &machine) {
-                return false;
-            }
-            let Some(h) = &mut self.holder else {
-                return false;
-            };
             round.left -= 1;
             let attempt = h.next_attempt();
             let zone = h.machines[&machine].zone.clone();
@@ -153,51 +133,6 @@
         false
     }
 
-    /// Whether a job's next task had better wait for room on a machine that has its
-    /// image than go where the fetch would make it late. Once for each job, work of lower
-    /// rank is stopped for that where it stands in the way and soon runs elsewhere.
-    fn waits_for_image(&mut self, id: &JobId, machine: &MachineId) -> bool {
-        let now = self.now;
-        let Some(h) = &self.holder else {
-            return false;
-        };
-        let (Some(live), Some(m)) = (h.jobs.get(id), h.machines.get(machine)) else {
-            return false;
-        };
-        let Some(class) = self.catalog.get(m.class) else {
-            return false;
-        };
-        let delay_s = fetch_s(h, &live.rec, class, m);
-        let cost = delay_cost(&self.settings, &live.rec.class, class, delay_s);
-        if live.rec.rank < Rank::Critical || cost < LATE_COST {
-            return false;
-        }
-        if let Some((tasks, until)) = live.promised {
-            return now < until && live.queued() <= tasks;
-        }
-        let (mut used, mut victims) = (Vec::new(), Vec::new());
-        for _ in 0..live.queued().min(PROMISES_MAX) {
-            let found = image_holder(h, &self.catalog, &self.settings, now, live, &used);
-            let Some((name, tasks, loss)) = found.filter(|(.., loss)| *loss < cost) else {
-                break;
-            };
-            debug!(
-                "{} tasks on {name} make room for {id}'s image, {loss:.1}",
-                tasks.len()
-            );
-            used.push(name);
-            victims.extend(tasks);
-        }
-        let promised = used.len() as u32;
-        if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(id)) {
-            live.promised = Some((promised, now.after(PROMISE_S)));
-        }
-        for task in victims {
-            self.halt(&task);
-        }
-        promised > 0
-    }
-
     /// Stops tasks of lower rank where that makes room for a job that found none.
     fn make_room(&mut self, id: &JobId) {
         let now = self.now;
@@ -559,15 +494,6 @@
             .filter(|t| h.jobs.get(&t.job).is_some_and(|l| Rc::ptr_eq(&l.rec, rec)));
         cost += SPREAD_COST * same.count() as f64;
     }
-    if rec.rank == Rank::Critical {
-        // Nothing makes room on a machine that is full of critical work: its images help
-        // no start of theirs.
-        let critical = |t: &TaskId| {
-            let other = &h.jobs.get(&t.job)?.rec;
-            (other.rank == Rank::Critical).then(|| other.need.share_of(class.room))
-        };
-        cost += CROWD_COST * m.tasks.iter().filter_map(critical).sum::<f64>();
-    }
     if m.spot {
         cost -= SPOT_GAIN;
     }
@@ -669,70 +595,6 @@
     whole + others.iter().map(|(_, s)| s.min(whole)).sum::<f64>()
 }
 
-/// The machine with a job's image on which the least has to be stopped for its next task.
-/// Services are stopped only where they have run for a while and their own image waits
-/// for them elsewhere.
-fn image_holder(
-    h: &Holder,
-    catalog: &[ClassInfo],
-    settings: &Settings,
-    now: Time,
-    live: &Live,
-    used: &[MachineId],
-) -> Option<(MachineId, Vec<TaskId>, f64)> {
-    let mut best: Option<(f64, &MachineId, Vec<TaskId>)> = None;
-    for (name, m) in &h.machines {
-        let Some(class) = catalog.get(m.class) else {
-            continue;
-        };
-        let open = m.has_image(&live.rec.image) && usable(m, settings, now);
-        if !open || used.contains(name) || !allowed(live, class, m) {
-            continue;
-        }
-        let Some((loss, tasks)) = victims_on(h, class, live, m, &[]) else {
-            continue;
-        };
-        let cheaper = best.as_ref().is_none_or(|(least, ..)| loss < *least);
-        if cheaper
-            && tasks
-                .iter()
-                .all(|t| moves_well(h, catalog, settings, now, name, t))
-        {
-            best = Some((loss, name, tasks));
-        }
-    }
-    best.map(|(loss, name, tasks)| (name.clone(), tasks, loss))
-}
-
-/// Whether a task that is stopped soon runs again without much loss.
-fn moves_well(
-    h: &Holder,
-    catalog: &[ClassInfo],
-    settings: &Settings,
-    now: Time,
-    from: &MachineId,
-    task: &TaskId,
-) -> bool {
-    let Some(live) = h.jobs.get(&task.job) else {
-        return false;
-    };
-    let Some(p) = live.placed.get(&task.index) else {
-        return false;
-    };
-    if live.rec.form == Form::Batch {
-        return live.rec.checkpoint_s > 0.0;
-    }
-    let steady = p.phase == Phase::Running && now.since(p.since) > STEADY_S;
-    let takes = |(name, m): (&MachineId, &Machine)| {
-        let class = catalog.get(m.class);
-        name != from
-            && m.has_image(&live.rec.image)
-            && class.is_some_and(|c| free_room(c, m).holds(live.rec.need) && allowed(live, c, m))
-            && usable(m, settings, now)
-    };
-    steady && h.machines.iter().any(takes)
-}
-
 /// The machine on which the least work of lower rank stands in a task's way.
 fn cheapest_victims(
     h: &Holder,
@@ -780,11 +642,7 @@
         if (below || owed) && p.halted.is_none() && started {
             let ran = h.heard.since(p.since);
             let saved = other.rec.checkpoint_s > 0.0;
-            let loss = match other.rec.form {
-                Form::Service => SERVICE_LOSS,
-                Form::Batch if saved => SAVED_LOSS,
-                Form::Batch => SERVICE_LOSS + ran * LOST_SHARE,
-            };
+            let loss = if saved { 3.0 } else { 5.0 + ran * 0.2 };
             lower.push((loss, t, other.rec.need));
         }
     }
