Blocks and the ceiling follow the controllers' processors and sockets

Cause: block.min-machines = 150 and scale.ceiling = 200 were numbers chosen for smaller fleets: 300 machines would have been cut in two without need, and more than 200 of a type never rented, without a word in the log. Done: a fleet is cut only when a holder would need more than 60% of its processor, and never into blocks of fewer than 40 machines; the ceiling is what the controllers can serve by processor and sockets unless it is set, and a pool that reaches it says so.

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -7,7 +7,6 @@
 use super::records::Closed;
 use super::*;
 use crate::peer::PoolCount;
-use crate::settings::Tuning;
 use log::{debug, info, warn};
 use std::collections::VecDeque;
 
@@ -316,11 +315,12 @@
             return;
         };
         lead.needs.clear();
+        let ceiling = self.settings.ceiling();
         for (pool, blocks) in sums.counts {
             // A machine serves its own block only, so each block's gap is its own.
             let (mut wanted, mut gap, mut provisioned) = (0, 0, 0);
             for (block, count) in &blocks {
-                let w = count.wanted(&self.settings.tuning);
+                let w = count.wanted(ceiling);
                 debug!("pool {pool:?} of block {block}: {count:?}, wanted {w}");
                 let need = w.saturating_sub(count.provisioned);
                 (wanted, gap, provisioned) =
@@ -329,14 +329,17 @@
                 lead.needs.insert((name, pool.1, *block), need);
             }
             lead.scale.remember(pool, now, wanted, window_s);
-            let ceiling = (self.settings.tuning.ceiling as u32).saturating_sub(provisioned);
+            let room = ceiling.saturating_sub(provisioned);
+            if wanted >= ceiling {
+                warn!("pool {pool:?} wants {wanted} machines, as many as its ceiling allows");
+            }
             let rise = (self.settings.tuning.rise as u32).min(RENT_MAX);
             let asked = sums.asked.get(&pool).copied().unwrap_or(0);
             // A machine in the wrong zone is no help to tasks that may not go there.
             let pins = sums.pins.iter().filter(|((p, _), _)| *p == pool);
             let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
             let gap = gap.max(pins.values().sum());
-            let gap = gap.min(ceiling).saturating_sub(asked).min(rise);
+            let gap = gap.min(room).saturating_sub(asked).min(rise);
             if gap > 0 {
                 lead.scale.rent(
                     &self.catalog,
@@ -597,14 +600,14 @@
     /// Tasks that wait found no room on the busy machines, so their count stands on
     /// top of those: with the bare larger of the two, a full machine with as many
     /// tasks waiting as running would never get a second one beside it.
-    pub(crate) fn wanted(&self, t: &Tuning) -> u32 {
+    pub(crate) fn wanted(&self, ceiling: u32) -> u32 {
         let by_queue = self.busy + self.queued.ceil() as u32;
         let by_running = self.running.ceil() as u32;
         let mut room = 0.0;
         if self.urgent {
             room = (self.keep - self.spare).max(0.0).ceil();
         }
-        (by_queue.max(by_running) + room as u32).min(t.ceiling as u32)
+        (by_queue.max(by_running) + room as u32).min(ceiling)
     }
 }
 
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -347,7 +347,7 @@
             .map(|(_, _, _, n)| n)
             .sum();
         let controllers = 1 + self.lately().filter(|h| h.sighted).count();
-        let by_size = (f64::from(machines) / self.settings.tuning.block_min) as usize;
+        let by_size = self.settings.blocks_for(machines);
         if recs.is_empty() || recs.len() >= by_size.min(controllers) {
             return;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -114,15 +114,29 @@
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Resources {
+    /// Share of a processor's core that each controller has.
+    #[serde(default = "whole")]
+    pub cpu: f64,
     pub max_sockets: usize,
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
+/// Processor time that a holder spends on one report, with all that follows from it, in
+/// seconds: as measured, rounded up.
+const REPORT_CPU_S: f64 = 75e-6;
+/// Sockets of each controller that aren't for workers.
+const OTHER_SOCKETS: usize = 100;
+
 /// Operators' settings; each field is documented in `deploy/salttrestle.properties`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tuning {
     pub grant_s: f64,
     pub block_lease_s: f64,
     pub block_min: f64,
+    pub block_cpu: f64,
     pub tick_s: f64,
     pub rise: f64,
     pub ceiling: f64,
@@ -158,6 +172,35 @@
     }
 }
 
+impl Settings {
+    /// Machines that one holder can serve with all of its processor.
+    fn machines_a_holder(&self) -> f64 {
+        let f = &self.platform.facts;
+        f.resources.cpu * f.workers.report_s / REPORT_CPU_S
+    }
+
+    /// Into how many blocks a fleet is cut: no more than its holders' processors need,
+    /// and none smaller than is worth it.
+    pub fn blocks_for(&self, machines: u32) -> usize {
+        let machines = f64::from(machines);
+        let most = self.machines_a_holder() * self.tuning.block_cpu;
+        let needed = (machines / most).ceil();
+        needed.min((machines / self.tuning.block_min).floor()) as usize
+    }
+
+    /// Most machines of one type: as set or, where nothing is set, as many as the
+    /// controllers together can serve by processor and sockets.
+    pub fn ceiling(&self) -> u32 {
+        if self.tuning.ceiling >= 1.0 {
+            return self.tuning.ceiling as u32;
+        }
+        let f = &self.platform.facts;
+        let sockets = f.resources.max_sockets.saturating_sub(OTHER_SOCKETS).max(1);
+        let each = self.machines_a_holder().min(sockets as f64).max(1.0);
+        (each * f64::from(f.count.max(1))) as u32
+    }
+}
+
 fn read(path: &Path, name: &str) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|e| bad(name, "(file)", e.to_string()))
 }
@@ -181,6 +224,7 @@
             ("facts.state.write_rps", f.state.write_rps),
             ("facts.state.value_kb", f.state.value_kb),
             ("facts.cloud.rps", f.cloud.rps),
+            ("facts.resources.cpu", f.resources.cpu),
         ];
         for (key, value) in positive {
             if !(value.is_finite() && value > 0.0) {
@@ -273,9 +317,10 @@
             grant_s: num("leader.grant-s", 0.5, 60.0)?,
             block_lease_s: num("block.lease-s", 1.0, 600.0)?,
             block_min: num("block.min-machines", 1.0, 1e6)?,
+            block_cpu: num("block.cpu", 1e-6, 1.0)?,
             tick_s: num("scale.tick-s", 0.5, 300.0)?,
             rise: num("scale.rise", 1.0, 50.0)?,
-            ceiling: num("scale.ceiling", 1.0, 1e6)?,
+            ceiling: num("scale.ceiling", 0.0, 1e6)?,
             window_s: num("scale.window-s", 0.0, 3600.0)?,
             headroom: num("scale.headroom", 0.0, 10.0)?,
             budget_share: num("budget.share", 0.05, 1.0)?,
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -390,11 +390,34 @@
     }
 }
 
+/// The figures that follow from the platform's settings, at sizes unlike each other.
+#[test]
+fn blocks_and_ceiling_follow_the_settings() {
+    let settings = |cpu: &str, sockets: &str| {
+        let text = PLATFORM
+            .replace("\"cpu\":0.1", &format!("\"cpu\":{cpu}"))
+            .replace("\"max_sockets\":500", &format!("\"max_sockets\":{sockets}"));
+        salttrestle::settings::Settings {
+            platform: Platform::parse(&text, "f.json").expect("good"),
+            tuning: Tuning::parse(None).expect("good"),
+        }
+    };
+    let usual = settings("0.1", "500");
+    assert_eq!((usual.blocks_for(10), usual.blocks_for(500)), (0, 1));
+    assert_eq!(usual.blocks_for(1000), 2);
+    assert_eq!(usual.ceiling(), 800, "two controllers' sockets");
+    let slow = settings("0.01", "500");
+    assert_eq!(slow.blocks_for(100), 2, "no smaller than is worth it");
+    assert_eq!(slow.ceiling(), 266, "two controllers' processors");
+    assert!(Platform::parse(&PLATFORM.replace("\"cpu\":0.1", "\"cpu\":0"), "f").is_err());
+}
+
 #[test]
 fn properties() {
     let defaults = Tuning::parse(None).expect("good defaults");
-    let over = Tuning::parse(Some(("o", "scale.tick-s = 2.5\n# note\n"))).expect("good");
-    assert_eq!(over.tick_s, 2.5);
+    let over = Tuning::parse(Some(("o", "scale.tick-s = 7.5\n# note\n"))).expect("good");
+    assert_eq!(over.tick_s, 7.5);
+    assert_ne!(defaults.tick_s, 7.5);
     assert_eq!(
         Tuning {
             tick_s: defaults.tick_s,
@@ -407,6 +430,8 @@
         ("scale.tick-s = fast", "scale.tick-s"),
         ("scale.tick-s = NaN", "scale.tick-s"),
         ("scale.rise = 1000", "scale.rise"),
+        ("block.cpu = 0", "block.cpu"),
+        ("scale.ceiling = -1", "scale.ceiling"),
         ("scale.tick-s = \\uZZZZ", "(file)"),
     ] {
         let error = Tuning::parse(Some(("o.properties", text))).expect_err(text);
