--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -206,6 +206,8 @@
     pub whole: bool,
     /// Zones of which so many machines are silent that they must be cut off.
     pub(crate) cut_zones: BTreeSet<Rc<str>>,
+    /// When there last was one.
+    pub(crate) zones_cut_at: Option<Time>,
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
@@ -255,6 +257,7 @@
             since: now,
             whole: true,
             cut_zones: BTreeSet::new(),
+            zones_cut_at: None,
             allowances: None,
             count: 0,
             jobs: BTreeMap::new(),
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -361,6 +361,14 @@
         })
     }
 
+    /// Whether a zone's controllers besides this one are all heard of, and hear workers.
+    pub(crate) fn zone_heard(&self, zone: &str) -> bool {
+        let siblings = self.settings.platform.siblings.iter();
+        let mut local = siblings.filter(|s| s.site == zone).peekable();
+        let hears = |m: &Member| self.siblings.get(m).is_some_and(|(h, _)| h.heard);
+        local.peek().is_some() && local.all(|s| self.linked(&s.member) && hears(&s.member))
+    }
+
     /// Whether a zone has a controller besides this one, which may shelter its workers.
     pub(crate) fn has_shelter(&self, zone: &str) -> bool {
         let mut siblings = self.settings.platform.siblings.iter();
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -555,7 +555,11 @@
                 silent.push((id.clone(), quiet, patience, sheltered.contains(&m.zone)));
             }
         }
+        if !cut_zones.is_empty() {
+            h.zones_cut_at = Some(now);
+        }
         h.cut_zones = cut_zones;
+        let back = h.zones_cut_at.is_some_and(|at| now.since(at) < lease_s);
         let calm = h.cut_at;
         h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
         if h.cut || !h.cut_zones.is_empty() {
@@ -570,8 +574,10 @@
                 (true, false) => MASS_SILENT * lease_s,
                 (false, false) => 0.0,
             };
-            // When a cut ends, those who come back last aren't taken for dead.
-            let late = h.cut || now.since(calm) > patience;
+            // When a cut ends, those who come back last aren't taken for dead. None is
+            // waited for for ever: those that went meanwhile look as if it went on.
+            let given_up = quiet > SHELTERED_SILENT * lease_s;
+            let late = (h.cut && !back) || given_up || now.since(calm) > patience;
             if quiet > patience.max(least) && late {
                 h.doom(now, &id, "it is silent");
             }
@@ -596,8 +602,11 @@
         let cut = |(all, quiet): (usize, usize)| {
             quiet >= CUT_LEAST && quiet as f64 >= CUT_SHARE * all as f64
         };
+        // Where a controller of the zone hears workers and is heard, there is no cut: a
+        // wave that took many spot machines looked like one.
         let cut_off = zones.into_iter().filter(|(_, count)| cut(*count));
-        cut_off.map(|(zone, _)| zone.clone()).collect()
+        let cut_off = cut_off.map(|(zone, _)| zone.clone());
+        cut_off.filter(|zone| !self.zone_heard(zone)).collect()
     }
 
     /// Tasks on machines that are about to go are stopped: at once where they can
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -109,6 +109,10 @@
     /// Late copies of reports: delay, and until when they are made.
     pub copies: Option<(u64, u64)>,
     pub lose_commits: u32,
+    /// Requests a second that the state service takes, until when, and what it took of
+    /// the present second.
+    throttle: (u32, u64),
+    taken: (u64, u32),
     pub lease_ms: u64,
     pub report_ms: u64,
     pub statuses: BTreeMap<(JobId, u16), u32>,
@@ -257,6 +261,8 @@
             held: Vec::new(),
             copies: None,
             lose_commits: 0,
+            throttle: (0, 0),
+            taken: (0, 0),
             lease_ms: ms(lease),
             report_ms: ms(report),
             statuses: BTreeMap::new(),
@@ -582,7 +588,7 @@
 
     fn state_executes(&mut self, n: usize, boot: u64, call: CallId, op: StateOp) {
         let now = self.now;
-        let refused = self.nodes[n].refused_until > now;
+        let refused = self.nodes[n].refused_until > now || self.throttled();
         let waits = matches!(op, StateOp::Follow { .. });
         let reply = if refused && !waits {
             Some(StateReply::Refused)
@@ -622,6 +628,17 @@
         self.wake_followers();
     }
 
+    /// Whether the state service answers 429: more was asked of it this second than it takes.
+    fn throttled(&mut self) -> bool {
+        let (most, until) = self.throttle;
+        let second = self.now / 1000;
+        if self.taken.0 != second {
+            self.taken = (second, 0);
+        }
+        self.taken.1 += 1;
+        self.now < until && self.taken.1 > most
+    }
+
     fn wake_followers(&mut self) {
         if self.state.outage {
             return;
@@ -747,6 +764,7 @@
             "restore" => self.cloud.outage = false,
             "peers-refuse" => self.peers_refuse_until = until,
             "lose-commits" => self.lose_commits = args[0].parse().expect("a count"),
+            "throttle" => self.throttle = (num(args, "rps", 50.0) as u32, until),
             "copies" => self.copies = Some((ms(num(args, "delay", 5.0)), until)),
             "forget-log" => self.state.kept = args[0].parse().expect("a count"),
             "stillborn" => self.cloud.stillborn = args[0].parse().expect("a count"),
