A sibling of unknown zone may shelter any worker; refused connections told at once

Found by reading the change again: settings without a sibling's site would have let a lease prove a task gone that this sibling kept alive, and a connection refused while it was opened wasn't told to the core. No change where the settings name every site.

--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -348,7 +348,8 @@
     /// then the lease that ended at `over` had ended, and nothing revives it.
     pub(crate) fn nobody_sheltered(&self, zone: &str, over: Time, lease_s: f64) -> bool {
         let siblings = self.settings.platform.siblings.iter();
-        let mut local = siblings.filter(|s| s.site == zone);
+        // One whose zone isn't known may be of any.
+        let mut local = siblings.filter(|s| s.site == zone || s.site.is_empty());
         local.all(|s| {
             let Some((hello, _)) = self.siblings.get(&s.member) else {
                 return false;
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -4,8 +4,9 @@
 //! 1. a report that shows this block's number, newer than any before it, lists the
 //!    attempt as ended or doesn't list it; or
 //! 2. the worker had shown this number, its lease must be over by now, counted from
-//!    the last 200 this process sent it, and the block was then still unchanged at
-//!    the state service; or
+//!    the last 200 this process sent it, the other controllers of its zone have said
+//!    since that they kept nobody alive for a lease, and the block was then still
+//!    unchanged at the state service; or
 //! 3. the cloud said that its machine is deleted.
 
 use super::health::{BAD_JOB_MACHINES, Health, job_pause_s};
@@ -18,7 +19,7 @@
 /// A start is sent this often before its placement is given up.
 const SENDS_MAX: u32 = 4;
 /// After `cancel_s` times this, a machine that may still run a withdrawn task is
-/// deleted; the rest of the time is for the cloud to answer.
+/// deleted: its user waits, and repeats the request for a minute.
 const CANCEL_SHARE: f64 = 0.6;
 /// The same in a zone that is cut off; cuts mostly end sooner.
 const CUT_CANCEL_SHARE: f64 = 2.0;
--- a/src/net.rs
+++ b/src/net.rs
@@ -834,8 +834,14 @@
                     let wait = now.after(CONNECT_PEER_S);
                     self.peer_retry.insert(s.member.clone(), wait);
                     let to = s.member.clone();
-                    let opened = open(s.endpoint).ok();
-                    match opened.and_then(|o| self.add(o, Role::PeerOut { to, made: false })) {
+                    let opened = open(s.endpoint);
+                    if let Err(e) = &opened {
+                        let refused = e.kind() == ErrorKind::ConnectionRefused;
+                        let link = if refused { Link::Refused } else { Link::Lost };
+                        self.inputs.push_back(Input::Link(to.clone(), link));
+                    }
+                    let role = Role::PeerOut { to, made: false };
+                    match opened.ok().and_then(|o| self.add(o, role)) {
                         Some(key) => {
                             self.peers.insert(s.member.clone(), key);
                             key
