A controller that began in a cut zone shelters workers under their own number

Done: without sight, a worker's own number is as good as one from a record: it says nothing new to the worker and gives it time, and the process counts as one that sheltered.

--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -171,14 +171,21 @@
     /// holder can't be reached: no starts, but halts for what is cancelled or over.
     fn shelter(&self, report: &Report) -> Option<Reply> {
         let id = MachineId::from(report.machine.as_str());
+        if report.zone != self.settings.platform.site {
+            return None;
+        }
+        let blind = self.blind();
         let recs = self.cache.blocks.values();
         let mut recs = recs.filter_map(|b| b.rec.as_ref());
-        let rec = recs.find(|b| b.has(&id)).filter(|_| self.listed)?;
-        let home = report.zone == self.settings.platform.site;
-        if !home || report.number > rec.number.0 || self.shut_off(&rec.holder) {
+        let rec = recs.find(|b| b.has(&id));
+        if rec.is_some_and(|b| self.shut_off(&b.holder)) {
             return None;
         }
-        let blind = self.blind();
+        // A process that began in a zone that is cut off knows no number, or an old one.
+        // The worker's own tells it nothing that it doesn't know, and gives it time.
+        let known = rec.map(|b| b.number).filter(|n| n.0 >= report.number);
+        let own = Some(Number(report.number)).filter(|n| blind && n.0 > 0);
+        let number = known.or(own)?;
         // Without sight, a job that isn't known here may be newer than what is.
         let over = |task: &TaskId| match self.cache.jobs.get(&task.job) {
             Some(job) => job.withdrawn.is_some(),
@@ -194,7 +201,7 @@
             })
         });
         let halts: Vec<Command> = halts.collect();
-        Some(Reply::ok(200, commands_body(rec.number, &halts)))
+        Some(Reply::ok(200, commands_body(number, &halts)))
     }
 
     /// Sends a worker to its block's holder, if it is known.
