--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -333,13 +333,13 @@
             if wanted >= ceiling {
                 warn!("pool {pool:?} wants {wanted} machines, as many as its ceiling allows");
             }
-            let rise = (self.settings.tuning.rise as u32).min(RENT_MAX);
             let asked = sums.asked.get(&pool).copied().unwrap_or(0);
             // A machine in the wrong zone is no help to tasks that may not go there.
             let pins = sums.pins.iter().filter(|((p, _), _)| *p == pool);
             let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
             let gap = gap.max(pins.values().sum());
-            let gap = gap.min(room).saturating_sub(asked).min(rise);
+            let gap = gap.min(room).saturating_sub(asked);
+            let gap = gap.min(self.settings.rise(gap));
             if gap > 0 {
                 lead.scale.rent(
                     &self.catalog,
@@ -959,21 +959,26 @@
             };
             least.2 += 1;
         }
-        for (_, zone, count) in zones.into_iter().filter(|z| z.2 > 0) {
-            self.hire_count += 1;
-            let rec = HireRec {
-                name: format!("r-{}-{}", term.0, self.hire_count),
-                class: info.name.clone(),
-                zone: zone.clone(),
-                spot: pool.1,
-                count,
-            };
-            self.hires.push(Hire {
-                rec,
-                step: HireStep::Planned,
-                at: now,
-            });
-            self.plan_dirty = true;
+        for (_, zone, mut count) in zones {
+            // One request holds no more than the cloud takes.
+            while count > 0 {
+                let part = count.min(RENT_MAX);
+                count -= part;
+                self.hire_count += 1;
+                let rec = HireRec {
+                    name: format!("r-{}-{}", term.0, self.hire_count),
+                    class: info.name.clone(),
+                    zone: zone.clone(),
+                    spot: pool.1,
+                    count: part,
+                };
+                self.hires.push(Hire {
+                    rec,
+                    step: HireStep::Planned,
+                    at: now,
+                });
+                self.plan_dirty = true;
+            }
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,6 +139,7 @@
     pub block_cpu: f64,
     pub tick_s: f64,
     pub rise: f64,
+    pub rise_share: f64,
     pub ceiling: f64,
     pub window_s: f64,
     pub headroom: f64,
@@ -188,6 +189,14 @@
         needed.min((machines / self.tuning.block_min).floor()) as usize
     }
 
+    /// Most machines that one tick may add to a pool that lacks `gap`. Ten a tick took an
+    /// empty fleet of hundreds more than a minute, in which nobody was served; a wrong
+    /// count still shows in the next tick before all it asks for is rented.
+    pub fn rise(&self, gap: u32) -> u32 {
+        let share = f64::from(gap) * self.tuning.rise_share;
+        self.tuning.rise.max(share.ceil()) as u32
+    }
+
     /// Most machines of one type: as set or, where nothing is set, as many as the
     /// controllers together can serve by processor and sockets.
     pub fn ceiling(&self) -> u32 {
@@ -320,6 +329,7 @@
             block_cpu: num("block.cpu", 1e-6, 1.0)?,
             tick_s: num("scale.tick-s", 0.5, 300.0)?,
             rise: num("scale.rise", 1.0, 50.0)?,
+            rise_share: num("scale.rise-share", 0.0, 1.0)?,
             ceiling: num("scale.ceiling", 0.0, 1e6)?,
             window_s: num("scale.window-s", 0.0, 3600.0)?,
             headroom: num("scale.headroom", 0.0, 10.0)?,
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -430,6 +430,7 @@
         ("scale.tick-s = fast", "scale.tick-s"),
         ("scale.tick-s = NaN", "scale.tick-s"),
         ("scale.rise = 1000", "scale.rise"),
+        ("scale.rise-share = 2", "scale.rise-share"),
         ("block.cpu = 0", "block.cpu"),
         ("scale.ceiling = -1", "scale.ceiling"),
         ("scale.tick-s = \\uZZZZ", "(file)"),
