--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -2,13 +2,13 @@
 //! tick compares the larger of two counts, what waits and what runs, with what is
 //! provisioned, booting machines included.
 
-use super::holder::Machine;
+use super::fleet::{Machine, Seat};
 use super::placement::{within_limit, zone_allowed};
 use super::records::Closed;
 use super::*;
 use crate::peer::PoolCount;
 use log::{debug, info, warn};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 /// A machine type's index in the catalogue, and whether it is spot.
 pub(crate) type Pool = (usize, bool);
@@ -144,10 +144,7 @@
         self.catalog = classes;
         let catalog = &self.catalog;
         for h in self.parked.values_mut() {
-            for m in h.machines.values_mut() {
-                let class = catalog.iter().position(|c| *c.name == *m.class_name);
-                m.class = class.unwrap_or(usize::MAX);
-            }
+            h.machines.edit_all(|_, m| m.find_class(catalog));
             h.place_wanted = true;
         }
     }
@@ -201,12 +198,12 @@
         }
         let lag = self.settings.platform.facts.cloud.list_lag_s;
         let (now, settled_s) = (self.now, LISTED_LAGS * lag + REPEAT_S);
+        let listed: BTreeSet<&str> = so_far.iter().map(|l| l.id.as_str()).collect();
         for h in self.parked.values_mut() {
             for l in &so_far {
-                let class = self.catalog.iter().position(|c| c.name == l.class);
-                h.see_listed(now, class, l);
+                h.see_listed(now, &self.catalog, l);
             }
-            h.miss_listed(now, settled_s, &so_far);
+            h.miss_listed(now, settled_s, &listed);
         }
         if let Some(lead) = &mut self.lead {
             lead.scale.listed = true;
@@ -224,13 +221,12 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        let mut unborn = Vec::new();
-        for (id, m) in &h.machines {
+        let late = |m: &Machine| {
             let ready_s = self.catalog.get(m.class).map_or(60.0, |c| c.ready_s);
-            if m.up.is_none() && m.doomed.is_none() && now.since(m.since) > boot * ready_s {
-                unborn.push(id.clone());
-            }
-        }
+            now.since(m.since) > boot * ready_s
+        };
+        let unborn = h.machines.unborn().filter(|(_, m)| late(m));
+        let unborn: Vec<MachineId> = unborn.map(|(id, _)| id.clone()).collect();
         for id in unborn {
             h.doom(now, &id, "it never came up");
         }
@@ -246,7 +242,7 @@
             return;
         };
         let mut ids = Vec::new();
-        for (id, m) in &h.machines {
+        for (id, m) in h.machines.leaving() {
             let due = m.doomed.is_some_and(|at| now >= at || m.tasks.is_empty());
             if due && !m.deleting && ids.len() < DELETE_MAX && !h.committing_on(m) {
                 ids.push(id.clone());
@@ -260,9 +256,7 @@
             && let Some(h) = &mut self.holder
         {
             for id in &ids {
-                if let Some(m) = h.machines.get_mut(id) {
-                    m.deleting = true;
-                }
+                h.machines.edit(id, |m| m.deleting = true);
             }
         }
     }
@@ -276,9 +270,7 @@
         let mut held = Vec::new();
         for id in ids {
             if reply != CloudReply::Deleted {
-                if let Some(m) = h.machines.get_mut(&id) {
-                    m.deleting = false;
-                }
+                h.machines.edit(&id, |m| m.deleting = false);
                 continue;
             }
             info!("machine {id} deleted");
@@ -475,7 +467,7 @@
                     lead.scale.refused.remove(&place);
                 }
                 lead.scale.step(name, HireStep::Answered, now);
-                self.take_rented(class, &rec, rigs);
+                self.take_rented(&rec, rigs);
             }
             CloudReply::Refused => {
                 warn!("no capacity for {} in {}", rec.class, rec.zone);
@@ -490,14 +482,14 @@
     }
 
     /// New machines join the only block at once, or a block's list.
-    fn take_rented(&mut self, class: usize, rec: &HireRec, rigs: Vec<MachineId>) {
+    fn take_rented(&mut self, rec: &HireRec, rigs: Vec<MachineId>) {
         let now = self.now;
         let whole = self.parked.values_mut().find(|h| h.whole);
         if let Some(h) = whole {
             for id in rigs {
                 if !h.machines.contains_key(&id) && !h.gone.contains_key(&id) {
-                    let m = Machine::new(Some(class), &rec.class, &rec.zone, rec.spot, now);
-                    h.add_machine(id, m);
+                    let m = Machine::new(&self.catalog, &rec.class, &rec.zone, rec.spot, now);
+                    h.machines.insert(id, m);
                 }
             }
             return;
@@ -613,35 +605,33 @@
 
 impl Holder {
     fn committing_on(&self, m: &Machine) -> bool {
-        m.tasks.iter().any(|t| {
+        m.tasks.keys().any(|t| {
             let p = self.jobs.get(&t.job).and_then(|l| l.placed.get(&t.index));
             p.is_some_and(|p| p.phase == holder::Phase::Committing)
         })
     }
 
     /// Takes note of a listed machine.
-    fn see_listed(&mut self, now: Time, class: Option<usize>, l: &Listed) {
+    fn see_listed(&mut self, now: Time, catalog: &[ClassInfo], l: &Listed) {
         let id = MachineId::from(l.id.as_str());
         if self.gone.contains_key(&id) {
             return;
         }
         if self.whole && !self.machines.contains_key(&id) {
-            let mut m = Machine::new(class, &l.class, &l.zone, l.spot, now);
+            let mut m = Machine::new(catalog, &l.class, &l.zone, l.spot, now);
             m.since = Time(now.0.saturating_sub((l.age_s().max(0.0) * 1000.0) as u64));
-            self.add_machine(id.clone(), m);
-        }
-        let Some(m) = self.machines.get_mut(&id) else {
-            return;
-        };
-        if l.stance == MachineStance::Running && m.up.is_none() {
-            // From now on it counts as silent unless it reports.
-            (m.up, m.seen) = (Some(now), now);
-        }
-        let known = self.machines.get_mut(&id);
-        if let Some(m) = known.filter(|m| m.class == usize::MAX) {
-            m.class = class.unwrap_or(usize::MAX);
-            m.class_name = l.class.as_str().into();
-            (m.zone, m.spot) = (l.zone.as_str().into(), l.spot);
+            self.machines.insert(id.clone(), m);
+        }
+        let known = self.machines.get(&id);
+        let wakes = |m: &Machine| l.stance == MachineStance::Running && m.up.is_none();
+        if known.is_some_and(|m| m.class == usize::MAX || wakes(m)) {
+            self.machines.edit(&id, |m| {
+                if wakes(m) {
+                    // From now on it counts as silent unless it reports.
+                    (m.up, m.seen) = (Some(now), now);
+                }
+                m.learn(catalog, &l.class, &l.zone, l.spot);
+            });
         }
         if l.stance == MachineStance::Failed {
             self.doom(now, &id, "the cloud lists it as failed");
@@ -650,17 +640,12 @@
 
     /// Machines that should be listed by now and never were, nor ever reported, are
     /// gone or never came to be. Absence proves nothing, so they are deleted.
-    fn miss_listed(&mut self, now: Time, settled_s: f64, list: &[Listed]) {
+    fn miss_listed(&mut self, now: Time, settled_s: f64, listed: &BTreeSet<&str>) {
         let since = self.since;
-        let unseen = |m: &Machine| {
-            m.up.is_none() && m.doomed.is_none() && now.since(m.since.max(since)) > settled_s
-        };
-        let missing: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(id, m)| unseen(m) && !list.iter().any(|l| l.id == id.as_str()))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let unseen = |m: &Machine| now.since(m.since.max(since)) > settled_s;
+        let missing = self.machines.unborn();
+        let missing = missing.filter(|(id, m)| unseen(m) && !listed.contains(id.as_str()));
+        let missing: Vec<MachineId> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
             self.doom(now, &id, "the cloud doesn't list it");
         }
@@ -671,7 +656,7 @@
     fn remove_machine(&mut self, now: Time, id: &MachineId) -> Option<ReqId> {
         let m = self.machines.get(id)?;
         let held = m.held;
-        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
         for task in tasks {
             self.take(now, &task);
         }
@@ -790,17 +775,13 @@
             c.spare += free;
         }
         // Batch work that saves its progress makes room for urgent starts at hardly any cost.
-        let yields = |t: &TaskId| {
-            let rec = &self.jobs.get(&t.job)?.rec;
-            let kept = rec.form == Form::Batch && rec.checkpoint_s > 0.0;
-            (kept && rec.rank <= Rank::Normal).then(|| rec.need.share_of(class.room))
-        };
-        c.spare += m.tasks.iter().filter_map(yields).sum::<f64>();
-        let serves = |t: &TaskId| {
-            let live = self.jobs.get(&t.job);
-            live.is_some_and(|l| l.rec.form == Form::Service)
-        };
-        c.urgent |= m.tasks.iter().any(serves);
+        for Seat { rec, .. } in m.tasks.values() {
+            let saves = rec.form == Form::Batch && rec.checkpoint_s > 0.0;
+            if saves && rec.rank <= Rank::Normal {
+                c.spare += rec.need.share_of(class.room);
+            }
+            c.urgent |= rec.form == Form::Service;
+        }
     }
 
     /// How many queued tasks the team's limit still lets run.
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -146,7 +146,7 @@
         let pools = pools.filter_map(|((class, spot), c)| Some((named(class)?, spot, c)));
         let mut zones: BTreeMap<(String, bool, String), u32> = BTreeMap::new();
         let mut empty = Vec::new();
-        for (id, m) in &h.machines {
+        for (id, m) in h.machines.iter() {
             let key = (m.class_name.to_string(), m.spot, m.zone.to_string());
             *zones.entry(key).or_default() += 1;
             if m.up.is_some() && m.tasks.is_empty() && m.doomed.is_none() {
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,441 @@
+//! A block's machines, and the indexes that keep work in step with what changes.
+//!
+//! Placing a task once went over all machines and, for each, over the jobs of its tasks.
+//! At a thousand machines that used up a controller's processor. Now machines stand on
+//! shelves by type, zone, kind and free room, so that full ones aren't looked at, and each
+//! knows what its tasks mean for a placement. Every change goes through `edit`, which
+//! files the machine anew: there is no second place that could forget to.
+
+use super::health::Health;
+use super::*;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// A task on a machine, as far as other placements there depend on it.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub rec: Rc<JobRec>,
+    /// Its image is there.
+    pub settled: bool,
+}
+
+/// A machine of the block.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its type's place in the catalogue; `usize::MAX` while that isn't known.
+    pub class: usize,
+    pub class_name: Rc<str>,
+    /// What its type has.
+    pub room: Room,
+    pub zone: Rc<str>,
+    pub spot: bool,
+    /// When it was rented or first heard of.
+    pub since: Time,
+    /// When its first report came; `None` while it boots.
+    pub up: Option<Time>,
+    pub session: u64,
+    pub seq: u64,
+    /// A report showed that it has this block's number.
+    pub shown: bool,
+    pub seen: Time,
+    /// When this process last answered one of its reports with 200.
+    pub answered: Time,
+    pub notice: Option<Time>,
+    pub tasks: BTreeMap<TaskId, Seat>,
+    pub used: Room,
+    /// To be deleted, at this moment even if tasks are left on it. Nothing is placed
+    /// on it any more.
+    pub doomed: Option<Time>,
+    pub deleting: bool,
+    /// The request that waits for a command, and until when.
+    pub held: Option<(ReqId, Time)>,
+    /// Images it should have, latest use last.
+    pub images: Vec<(Image, f64)>,
+    pub health: Health,
+    /// Since when it has had no task.
+    pub empty: Option<Time>,
+    /// Its work would fit elsewhere: it gets nothing new while there is another place.
+    pub closing: bool,
+    /// A start was refused for want of room.
+    pub full_until: Time,
+    /// Where the indexes have it.
+    filed: Option<Filed>,
+}
+
+impl Machine {
+    pub(crate) fn new(
+        catalog: &[ClassInfo],
+        class_name: &str,
+        zone: &str,
+        spot: bool,
+        now: Time,
+    ) -> Self {
+        let mut machine = Self {
+            class: usize::MAX,
+            class_name: class_name.into(),
+            room: Room::default(),
+            zone: zone.into(),
+            spot,
+            since: now,
+            up: None,
+            session: 0,
+            seq: 0,
+            shown: false,
+            seen: now,
+            answered: now,
+            notice: None,
+            tasks: BTreeMap::new(),
+            used: Room::default(),
+            doomed: None,
+            deleting: false,
+            held: None,
+            images: Vec::new(),
+            health: Health::default(),
+            empty: Some(now),
+            closing: false,
+            full_until: Time(0),
+            filed: None,
+        };
+        machine.find_class(catalog);
+        machine
+    }
+
+    /// Looks its type up in the catalogue.
+    pub(crate) fn find_class(&mut self, catalog: &[ClassInfo]) {
+        let class = catalog.iter().position(|c| *c.name == *self.class_name);
+        self.class = class.unwrap_or(usize::MAX);
+        self.room = class.map_or(Room::default(), |c| catalog[c].room);
+    }
+
+    /// What a machine that was known by name only is.
+    pub(crate) fn learn(
+        &mut self,
+        catalog: &[ClassInfo],
+        class_name: &str,
+        zone: &str,
+        spot: bool,
+    ) {
+        if self.class == usize::MAX {
+            (self.class_name, self.zone, self.spot) = (class_name.into(), zone.into(), spot);
+            self.find_class(catalog);
+        }
+    }
+
+    pub fn has_image(&self, image: &Image) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    /// Notes that an image is used now; the cache drops the one unused for longest.
+    pub fn use_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub(crate) fn free(&self) -> Room {
+        let mut free = self.room;
+        free.add(self.used, -1.0);
+        free
+    }
+
+    /// Enters a task: its room counts from now on.
+    pub(crate) fn seat(&mut self, task: TaskId, rec: &Rc<JobRec>) {
+        self.used.add(rec.need, 1.0);
+        self.empty = None;
+        let rec = rec.clone();
+        self.tasks.insert(
+            task,
+            Seat {
+                rec,
+                settled: false,
+            },
+        );
+    }
+
+    pub(crate) fn unseat(&mut self, now: Time, task: &TaskId) {
+        if let Some(seat) = self.tasks.remove(task) {
+            self.used.add(seat.rec.need, -1.0);
+        }
+        if self.tasks.is_empty() {
+            self.used = Room::default();
+            self.empty = Some(now);
+        }
+    }
+
+    /// Whether it can be given tasks, but for what passes by itself.
+    fn open(&self) -> bool {
+        let staying = self.doomed.is_none() && self.notice.is_none();
+        self.up.is_some() && staying && self.session > 0 && self.class != usize::MAX
+    }
+
+    fn filing(&self) -> Filed {
+        Filed {
+            open: self.open().then(|| self.shelf()),
+            leaving: self.doomed.is_some() || self.notice.is_some(),
+            unborn: self.up.is_none() && self.doomed.is_none(),
+        }
+    }
+
+    fn shelf(&self) -> (Shelf, u64, Option<Rank>) {
+        let free = self.free();
+        let step = |free: f64, all: f64| {
+            let share = if all > 0.0 { free / all } else { 1.0 };
+            (share * STEPS + EDGE).clamp(0.0, STEPS) as u8
+        };
+        let shelf = Shelf {
+            class: self.class,
+            spot: self.spot,
+            zone: self.zone.clone(),
+            cpus: step(free.cpus, self.room.cpus),
+            gpus: step(free.gpus, self.room.gpus),
+            mem: step(free.mem, self.room.mem),
+        };
+        let share = (1.0 - self.used.share_of(self.room)).clamp(0.0, 1.0);
+        let lowest = self.tasks.values().map(|s| s.rec.rank).min();
+        (shelf, (share * PARTS) as u64, lowest)
+    }
+}
+
+/// Steps into which the free room of a machine is told apart.
+const STEPS: f64 = 8.0;
+/// What is so little below a step counts as there: amounts are rounded.
+const EDGE: f64 = 1e-4;
+/// Free room is added up in whole parts of a machine, so that sums stay exact.
+const PARTS: f64 = 1e6;
+
+/// Machines of one type, zone and kind with about the same free room.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Shelf {
+    class: usize,
+    spot: bool,
+    zone: Rc<str>,
+    cpus: u8,
+    gpus: u8,
+    mem: u8,
+}
+
+impl Shelf {
+    /// Whether a machine here may have room for a task: what it has is below the next
+    /// step, so a task that takes a whole step more needn't look here.
+    fn may_hold(&self, room: Room, need: Room) -> bool {
+        let most = |steps: u8, all: f64| (f64::from(steps) + 1.0 - EDGE) / STEPS * all;
+        let free = Room {
+            cpus: most(self.cpus, room.cpus),
+            gpus: most(self.gpus, room.gpus),
+            mem: most(self.mem, room.mem),
+        };
+        free.holds(need)
+    }
+}
+
+/// What the indexes say of a machine.
+#[derive(Clone, Debug, PartialEq)]
+struct Filed {
+    /// Its shelf, the free part of it, and the lowest rank of its tasks.
+    open: Option<(Shelf, u64, Option<Rank>)>,
+    leaving: bool,
+    unborn: bool,
+}
+
+#[derive(Debug, Default)]
+struct Index {
+    shelves: BTreeMap<Shelf, BTreeSet<MachineId>>,
+    /// Open machines with tasks, by the lowest rank among these.
+    ranked: BTreeMap<(usize, bool, Rank), BTreeSet<MachineId>>,
+    /// Free parts of open machines, by type and kind.
+    free: BTreeMap<(usize, bool), u64>,
+    leaving: BTreeSet<MachineId>,
+    unborn: BTreeSet<MachineId>,
+}
+
+impl Index {
+    fn file(&mut self, id: &MachineId, m: &mut Machine) {
+        let new = m.filing();
+        if m.filed.as_ref() == Some(&new) {
+            return;
+        }
+        self.unfile(id, m);
+        if let Some((shelf, free, lowest)) = &new.open {
+            *self.free.entry((shelf.class, shelf.spot)).or_default() += free;
+            if let Some(rank) = lowest {
+                let key = (shelf.class, shelf.spot, *rank);
+                self.ranked.entry(key).or_default().insert(id.clone());
+            }
+            let machines = self.shelves.entry(shelf.clone()).or_default();
+            machines.insert(id.clone());
+        }
+        if new.leaving {
+            self.leaving.insert(id.clone());
+        }
+        if new.unborn {
+            self.unborn.insert(id.clone());
+        }
+        m.filed = Some(new);
+    }
+
+    fn unfile(&mut self, id: &MachineId, m: &mut Machine) {
+        let Some(old) = m.filed.take() else {
+            return;
+        };
+        if let Some((shelf, free, lowest)) = &old.open {
+            *self.free.entry((shelf.class, shelf.spot)).or_default() -= free;
+            if let Some(rank) = lowest {
+                drop_from(&mut self.ranked, &(shelf.class, shelf.spot, *rank), id);
+            }
+            drop_from(&mut self.shelves, shelf, id);
+        }
+        self.leaving.remove(id);
+        self.unborn.remove(id);
+    }
+}
+
+fn drop_from<K: Ord>(sets: &mut BTreeMap<K, BTreeSet<MachineId>>, key: &K, id: &MachineId) {
+    if let Some(set) = sets.get_mut(key) {
+        set.remove(id);
+        if set.is_empty() {
+            sets.remove(key);
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    all: BTreeMap<MachineId, Machine>,
+    index: Index,
+}
+
+impl Fleet {
+    pub fn get(&self, id: &MachineId) -> Option<&Machine> {
+        self.all.get(id)
+    }
+
+    pub fn contains_key(&self, id: &MachineId) -> bool {
+        self.all.contains_key(id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        self.all.iter()
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Machine> {
+        self.all.values()
+    }
+
+    pub(crate) fn insert(&mut self, id: MachineId, mut machine: Machine) {
+        self.remove(&id);
+        self.index.file(&id, &mut machine);
+        self.all.insert(id, machine);
+    }
+
+    pub(crate) fn remove(&mut self, id: &MachineId) -> Option<Machine> {
+        let mut machine = self.all.remove(id)?;
+        self.index.unfile(id, &mut machine);
+        Some(machine)
+    }
+
+    /// The one way to change a machine.
+    pub(crate) fn edit<R>(
+        &mut self,
+        id: &MachineId,
+        change: impl FnOnce(&mut Machine) -> R,
+    ) -> Option<R> {
+        let machine = self.all.get_mut(id)?;
+        let result = change(machine);
+        self.index.file(id, machine);
+        Some(result)
+    }
+
+    pub(crate) fn edit_all(&mut self, mut change: impl FnMut(&MachineId, &mut Machine)) {
+        for (id, machine) in &mut self.all {
+            change(id, machine);
+            self.index.file(id, machine);
+        }
+    }
+
+    /// Open machines that may have room for a task, of those types, kinds and zones that
+    /// `fits` lets pass.
+    pub(crate) fn roomy(
+        &self,
+        need: Room,
+        fits: impl Fn(usize, bool, &Rc<str>) -> bool,
+    ) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        let wide = move |shelf: &Shelf, ids: &BTreeSet<MachineId>| {
+            // All machines of a shelf are of one type.
+            let room = ids.first().and_then(|id| self.all.get(id)).map(|m| m.room);
+            room.is_some_and(|room| shelf.may_hold(room, need))
+                && fits(shelf.class, shelf.spot, &shelf.zone)
+        };
+        let shelves = self.index.shelves.iter();
+        let shelves = shelves.filter(move |(shelf, ids)| wide(shelf, ids));
+        let ids = shelves.flat_map(|(_, ids)| ids);
+        ids.filter_map(|id| Some((id, self.all.get(id)?)))
+    }
+
+    /// Open machines with tasks, of those types, kinds and lowest ranks that `fits` lets
+    /// pass.
+    pub(crate) fn ranked(
+        &self,
+        fits: impl Fn(usize, bool, Rank) -> bool,
+    ) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        let sets = self.index.ranked.iter();
+        let sets = sets.filter(move |((class, spot, rank), _)| fits(*class, *spot, *rank));
+        let ids = sets.flat_map(|(_, ids)| ids);
+        ids.filter_map(|id| Some((id, self.all.get(id)?)))
+    }
+
+    /// Machines' worth of free room on the open machines of a pool.
+    pub(crate) fn free(&self, class: usize, spot: bool) -> f64 {
+        let parts = self.index.free.get(&(class, spot));
+        parts.copied().unwrap_or(0) as f64 / PARTS
+    }
+
+    /// Machines that are to be deleted or have notice.
+    pub(crate) fn leaving(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        let ids = self.index.leaving.iter();
+        ids.filter_map(|id| Some((id, self.all.get(id)?)))
+    }
+
+    /// Machines that haven't come up yet.
+    pub(crate) fn unborn(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        let ids = self.index.unborn.iter();
+        ids.filter_map(|id| Some((id, self.all.get(id)?)))
+    }
+
+    /// Recounts the indexes; says what is wrong with them.
+    pub fn audit(&self) -> Result<(), String> {
+        let mut again = Index::default();
+        for (id, m) in &self.all {
+            let filed = m.filing();
+            if m.filed.as_ref() != Some(&filed) {
+                return Err(format!("machine {id} isn't filed as it is: {filed:?}"));
+            }
+            if let Some((shelf, free, lowest)) = filed.open {
+                *again.free.entry((shelf.class, shelf.spot)).or_default() += free;
+                if let Some(rank) = lowest {
+                    let key = (shelf.class, shelf.spot, rank);
+                    again.ranked.entry(key).or_default().insert(id.clone());
+                }
+                again.shelves.entry(shelf).or_default().insert(id.clone());
+            }
+            if filed.leaving {
+                again.leaving.insert(id.clone());
+            }
+            if filed.unborn {
+                again.unborn.insert(id.clone());
+            }
+        }
+        again.free.retain(|_, n| *n > 0);
+        let mut free = self.index.free.clone();
+        free.retain(|_, n| *n > 0);
+        let same = again.shelves == self.index.shelves
+            && again.ranked == self.index.ranked
+            && again.free == free
+            && again.leaving == self.index.leaving
+            && again.unborn == self.index.unborn;
+        same.then_some(())
+            .ok_or_else(|| "the indexes differ from a recount".into())
+    }
+}
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -3,7 +3,7 @@
 //! are unchanged, before its start is sent to anyone.
 
 use super::autoscaler::{Pool, per_machine, pool_for};
-use super::health::Health;
+use super::fleet::{Fleet, Machine};
 use super::*;
 use log::{debug, info, warn};
 use std::collections::BTreeSet;
@@ -148,60 +148,6 @@
     }
 }
 
-/// A machine of the block.
-#[derive(Debug)]
-pub struct Machine {
-    pub class: usize,
-    pub class_name: Rc<str>,
-    pub zone: Rc<str>,
-    pub spot: bool,
-    /// When it was rented or first heard of.
-    pub since: Time,
-    /// When its first report came; `None` while it boots.
-    pub up: Option<Time>,
-    pub session: u64,
-    pub seq: u64,
-    /// A report showed that it has this block's number.
-    pub shown: bool,
-    pub seen: Time,
-    /// When this process last answered one of its reports with 200.
-    pub answered: Time,
-    pub notice: Option<Time>,
-    pub tasks: BTreeSet<TaskId>,
-    pub used: Room,
-    /// To be deleted, at this moment even if tasks are left on it. Nothing is placed
-    /// on it any more.
-    pub doomed: Option<Time>,
-    pub deleting: bool,
-    /// The request that waits for a command, and until when.
-    pub held: Option<(ReqId, Time)>,
-    /// Images it should have, latest use last.
-    pub images: Vec<(Image, f64)>,
-    pub health: Health,
-    /// Since when it has had no task.
-    pub empty: Option<Time>,
-    /// Its work would fit elsewhere: it gets nothing new while there is another place.
-    pub closing: bool,
-    /// A start was refused for want of room.
-    pub full_until: Time,
-}
-
-impl Machine {
-    pub fn has_image(&self, image: &Image) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
-    }
-
-    /// Notes that an image is used now; the cache drops the one unused for longest.
-    pub fn use_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.clone(), gb));
-        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
-        while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
-        }
-    }
-}
-
 pub struct Holder {
     pub block: u32,
     pub number: Number,
@@ -217,7 +163,7 @@
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
     pub jobs: BTreeMap<JobId, Live>,
-    pub machines: BTreeMap<MachineId, Machine>,
+    pub machines: Fleet,
     pub(crate) teams: HashMap<String, Room>,
     /// How services' demand for each pool comes.
     pub(crate) bursts: BTreeMap<Pool, Bursts>,
@@ -266,7 +212,7 @@
             allowances: None,
             count: 0,
             jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
+            machines: Fleet::default(),
             teams: HashMap::new(),
             bursts: BTreeMap::new(),
             wares: HashMap::new(),
@@ -307,9 +253,8 @@
         };
         for (id, class_name, zone, spot) in list {
             if !self.machines.contains_key(id) && !self.gone.contains_key(id) {
-                let class = catalog.iter().position(|c| c.name == *class_name);
-                let machine = Machine::new(class, class_name, zone, *spot, now);
-                self.add_machine(id.clone(), machine);
+                let machine = Machine::new(catalog, class_name, zone, *spot, now);
+                self.machines.insert(id.clone(), machine);
             }
         }
     }
@@ -325,9 +270,7 @@
             .cloned();
         if let Some(entry) = held {
             self.releases.remove(&entry);
-            if let Some(m) = self.machines.get_mut(&entry.1) {
-                m.held = None;
-            }
+            self.machines.edit(&entry.1, |m| m.held = None);
         }
     }
 
@@ -405,19 +348,17 @@
         let Some(live) = self.jobs.get_mut(job) else {
             return;
         };
-        let need = live.rec.need;
-        if let Some(m) = self.machines.get_mut(&placement.machine) {
-            m.used.add(need, 1.0);
-            m.empty = None;
-            m.tasks.insert(TaskId {
-                job: job.clone(),
-                index,
-            });
-        }
+        let task = TaskId {
+            job: job.clone(),
+            index,
+        };
+        let rec = &live.rec;
+        self.machines
+            .edit(&placement.machine, |m| m.seat(task, rec));
         self.teams
-            .entry(live.rec.team.clone())
+            .entry(rec.team.clone())
             .or_default()
-            .add(need, 1.0);
+            .add(rec.need, 1.0);
         live.placed.insert(index, placement);
     }
 
@@ -433,14 +374,7 @@
         if let Some(used) = self.teams.get_mut(&live.rec.team) {
             used.add(need, -1.0);
         }
-        if let Some(m) = self.machines.get_mut(&p.machine) {
-            m.used.add(need, -1.0);
-            m.tasks.remove(task);
-            if m.tasks.is_empty() {
-                m.used = Room::default();
-                m.empty = Some(now);
-            }
-        }
+        self.machines.edit(&p.machine, |m| m.unseat(now, task));
         let done = live.done.get(task.index as usize).copied().unwrap_or(true);
         if live.withdrawn.is_some() {
             if live.placed.is_empty() {
@@ -476,6 +410,37 @@
         self.take(now, task);
     }
 
+    /// Recounts what teams use and which tasks machines have, and checks the indexes.
+    pub(crate) fn audit(&self) -> Result<(), String> {
+        let (mut seats, mut teams) = (0, HashMap::<&str, Room>::new());
+        for (job, live) in &self.jobs {
+            for (index, p) in &live.placed {
+                let (job, index) = (job.clone(), *index);
+                teams
+                    .entry(&live.rec.team)
+                    .or_default()
+                    .add(live.rec.need, 1.0);
+                if let Some(m) = self.machines.get(&p.machine) {
+                    seats += 1;
+                    let task = TaskId { job, index };
+                    if !m.tasks.contains_key(&task) {
+                        return Err(format!("{task} isn't among the tasks of {}", p.machine));
+                    }
+                }
+            }
+        }
+        if seats != self.machines.values().map(|m| m.tasks.len()).sum::<usize>() {
+            return Err("a machine has a task that isn't placed there".into());
+        }
+        for (team, used) in &self.teams {
+            let again = teams.get(team.as_str()).copied().unwrap_or_default();
+            if !used.holds(again) || !again.holds(*used) {
+                return Err(format!("{team} uses {again:?}, not {used:?}"));
+            }
+        }
+        self.machines.audit()
+    }
+
     /// The present content of a chunk's record.
     fn run_rec(&self, live: &Live, chunk: u32) -> RunRec {
         let size = live.rec.chunk.max(1);
@@ -609,7 +574,7 @@
             if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
                 // Known by name only until it reports. If it never does, it is
                 // deleted, which proves its tasks gone.
-                let mut known = Machine::new(None, "", &zone, false, now);
+                let mut known = Machine::new(&[], "", &zone, false, now);
                 known.up = Some(now);
                 h.machines.insert(machine.clone(), known);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod blocks;
 pub mod budget;
 mod election;
+pub mod fleet;
 mod front;
 pub mod health;
 pub mod holder;
@@ -115,6 +116,9 @@
     pub cloud: f64,
     pub cloud_rate: f64,
     pub queued: usize,
+    /// Machines looked at to place tasks, and tasks placed.
+    pub looked: u64,
+    pub placed: u64,
 }
 
 /// What a call to the state service is for.
@@ -233,6 +237,9 @@
     /// When a worker last reported here.
     worker_heard: Time,
     chores_at: Time,
+    /// Machines looked at to place tasks, in all, and tasks placed.
+    pub(crate) looked: u64,
+    pub(crate) placed: u64,
 }
 
 impl Core {
@@ -278,6 +285,8 @@
             plan_seen: 0,
             worker_heard: Time(0),
             chores_at: Time(0),
+            looked: 0,
+            placed: 0,
         };
         core.share_budgets();
         core
@@ -329,9 +338,16 @@
             cloud: self.cloud_budget.spent(),
             cloud_rate: self.cloud_budget.rate(),
             queued: self.front.backlog() + self.parked.values().map(written).sum::<usize>(),
+            looked: self.looked,
+            placed: self.placed,
         }
     }
 
+    /// Recounts what is kept up to date from change to change; says what is wrong.
+    pub fn audit(&self) -> Result<(), String> {
+        self.parked.values().try_for_each(Holder::audit)
+    }
+
     /// Whether this controller leads.
     pub fn leads(&self) -> bool {
         self.lead.is_some()
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -1,9 +1,11 @@
 //! Where tasks go: as soon as they come, wherever the block has room for them.
 
-use super::holder::{Live, Machine, Phase, Placement};
+use super::fleet::Machine;
+use super::holder::{Live, Phase, Placement};
 use super::*;
 use log::debug;
-use std::collections::BTreeSet;
+use std::cmp::Ordering;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
 /// Shortest pause between two rounds of placing.
@@ -71,6 +73,7 @@
             full: full_pools(h, &self.catalog, self.settings.tuning.headroom, now),
             left: ROUND_MAX,
             failed: Vec::new(),
+            unyielding: Vec::new(),
         };
         let mut unplaced = Vec::new();
         for (_, _, _, _, id) in turns {
@@ -84,7 +87,7 @@
             h.place_wanted = true;
         }
         for id in unplaced {
-            self.make_room(&id);
+            self.make_room(&id, &mut round);
         }
     }
 
@@ -100,30 +103,48 @@
         if round.failed.iter().any(|f| same_demand(f, &rec)) {
             return true;
         }
+        let mut offers = None;
         while round.left > 0 {
             if !within_limit(h, &self.settings, &rec) {
                 return false;
             }
-            let Some(index) = h.jobs.get_mut(id).and_then(Live::next_queued) else {
+            let Some(live) = h.jobs.get_mut(id) else {
                 return false;
             };
-            let Some(machine) = pick(h, &self.catalog, &self.settings, now, id, round) else {
+            let Some(index) = live.next_queued() else {
+                return false;
+            };
+            let live = &h.jobs[id];
+            let desk = Desk {
+                settings: &self.settings,
+                catalog: &self.catalog,
+                expected: expected_s(&self.settings, &rec.class),
+                now,
+            };
+            let offers = offers.get_or_insert_with(|| {
+                let (offers, looked) = desk.offers(h, live, round);
+                self.looked += looked;
+                offers
+            });
+            let Some(machine) = best_offer(h, live, offers) else {
                 if !rec.one_zone && !rec.scatter {
                     round.failed.push(rec);
                 }
                 return true;
             };
             round.left -= 1;
+            self.placed += 1;
             let attempt = h.next_attempt();
-            let zone = h.machines[&machine].zone.clone();
-            let class = &self.catalog[h.machines[&machine].class];
+            let Some(m) = h.machines.get(&machine) else {
+                return true;
+            };
             debug!(
                 "task {id}/{index} goes to {machine}, its image takes {:.1} s",
-                fetch_s(h, &rec, class, &h.machines[&machine])
+                fetch_s(&rec, &self.catalog[m.class], m)
             );
             let placement = Placement {
-                machine,
-                zone,
+                machine: machine.clone(),
+                zone: m.zone.clone(),
                 attempt,
                 phase: Phase::Committing,
                 since: now,
@@ -134,12 +155,19 @@
             let chunk = index / rec.chunk.max(1);
             let urgency = Rank::Critical as u8 - rec.rank as u8;
             h.to_flush.insert((urgency, id.clone(), chunk));
+            // Only this machine costs something else now.
+            let live = &h.jobs[id];
+            let cost = h
+                .machines
+                .get(&machine)
+                .and_then(|m| desk.cost_of(live, m, round));
+            offers.extend(cost.map(|cost| Offer { cost, machine }));
         }
         false
     }
 
     /// Stops tasks of lower rank where that makes room for a job that found none.
-    fn make_room(&mut self, id: &JobId) {
+    fn make_room(&mut self, id: &JobId, round: &mut Round) {
         let now = self.now;
         let Some(h) = &mut self.holder else {
             return;
@@ -155,28 +183,29 @@
         if (live.rec.rank <= Rank::Normal && !sure) || now < live.preempting {
             return;
         }
+        let same = |f: &Rc<JobRec>| same_demand(f, &live.rec) && f.rank >= live.rec.rank;
+        if !sure && round.unyielding.iter().any(same) {
+            return;
+        }
         // Teams beyond their guarantee make room for one that lacks its own.
         let over = if sure {
             teams_over(h, &self.settings, &live.rec.team)
         } else {
             Vec::new()
         };
-        let mut victims = Vec::new();
-        let mut used = Vec::new();
-        for _ in 0..live.queued().min(8) {
-            let Some((machine, tasks)) =
-                cheapest_victims(h, &self.catalog, live, now, &used, &over)
-            else {
-                break;
-            };
-            used.push(machine);
-            victims.extend(tasks);
-        }
-        if victims.is_empty() {
-            return;
-        }
+        let most = live.queued().min(8) as usize;
+        let (victims, looked) = cheapest_victims(h, &self.catalog, live, now, most, &over);
+        self.looked += looked;
+        let pause = if victims.is_empty() {
+            if !sure && !live.rec.one_zone && !live.rec.scatter {
+                round.unyielding.push(live.rec.clone());
+            }
+            PLACE_EVERY_S
+        } else {
+            PREEMPT_S
+        };
         if let Some(live) = h.jobs.get_mut(id) {
-            live.preempting = now.after(PREEMPT_S);
+            live.preempting = now.after(pause);
         }
         for task in victims {
             log::info!("task {task} makes room for {id}");
@@ -209,11 +238,14 @@
         } else {
             BTreeSet::new()
         };
-        for (id, m) in &mut h.machines {
-            m.closing = spare.contains(id);
+        let changed = |(id, m): &(&MachineId, &Machine)| m.closing != spare.contains(*id);
+        let changed = h.machines.iter().filter(changed);
+        let changed: Vec<MachineId> = changed.map(|(id, _)| id.clone()).collect();
+        for id in changed {
+            h.machines.edit(&id, |m| m.closing = !m.closing);
         }
         let all_fit = |id: &MachineId| {
-            let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.iter().cloned().collect();
+            let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.keys().cloned().collect();
             fits_elsewhere(h, &self.catalog, &self.settings, now, id, &tasks).then_some(tasks)
         };
         let movable = spare.iter().find_map(|id| Some((id.clone(), all_fit(id)?)));
@@ -240,7 +272,7 @@
     now: Time,
 ) -> BTreeSet<MachineId> {
     let mut pools: BTreeMap<(usize, bool), Vec<(f64, &MachineId)>> = BTreeMap::new();
-    for (id, m) in &h.machines {
+    for (id, m) in h.machines.iter() {
         let here = m.up.is_some() && m.doomed.is_none() && m.notice.is_none();
         if let Some(class) = catalog.get(m.class).filter(|_| here && !m.tasks.is_empty()) {
             let share = m.used.share_of(class.room);
@@ -288,11 +320,9 @@
             return false;
         }
         let mut best: Option<(f64, &MachineId)> = None;
-        for (id, m) in &h.machines {
-            let Some(class) = catalog.get(m.class) else {
-                continue;
-            };
-            let mut free = free_room(class, m);
+        let fits = |class: usize, spot: bool, _: &Rc<str>| suits(&live.rec, catalog, class, spot);
+        for (id, m) in h.machines.roomy(live.rec.need, fits) {
+            let mut free = m.free();
             free.add(taken.get(id).copied().unwrap_or_default(), -1.0);
             // The task itself still stands in its zone's count: a strict reading that
             // only ever keeps it where it is.
@@ -302,8 +332,8 @@
                 && free.holds(live.rec.need)
                 && m.has_image(&live.rec.image)
                 && usable(m, settings, now)
-                && allowed(live, class, m);
-            let left = free.share_of(class.room);
+                && zone_allowed(live, &m.zone);
+            let left = free.share_of(m.room);
             if good && best.is_none_or(|(least, _)| left < least) {
                 best = Some((left, id));
             }
@@ -319,17 +349,7 @@
 /// The types whose ordinary machines have no more room than is kept for urgent starts.
 /// Work that may use spot machines waits for one rather than take that room.
 fn full_pools(h: &Holder, catalog: &[ClassInfo], headroom: f64, now: Time) -> Vec<usize> {
-    let mut pools = vec![0.0; catalog.len()];
-    for m in h
-        .machines
-        .values()
-        .filter(|m| m.up.is_some() && m.doomed.is_none() && !m.spot)
-    {
-        if let Some(class) = catalog.get(m.class) {
-            pools[m.class] += 1.0 - m.used.share_of(class.room);
-        }
-    }
-    let full = |c: &usize| pools[*c] < h.keep((*c, false), catalog, headroom, now);
+    let full = |c: &usize| h.machines.free(*c, false) < h.keep((*c, false), catalog, headroom, now);
     (0..catalog.len()).filter(full).collect()
 }
 
@@ -339,6 +359,96 @@
     left: usize,
     /// Demands that found no machine: others like them won't either.
     failed: Vec<Rc<JobRec>>,
+    /// Demands for which nothing of lower rank could be stopped.
+    unyielding: Vec<Rc<JobRec>>,
+}
+
+/// A machine for a job's next task. The cheapest one is the greatest, for the heap.
+struct Offer {
+    cost: f64,
+    machine: MachineId,
+}
+
+impl Ord for Offer {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let cost = other.cost.total_cmp(&self.cost);
+        cost.then_with(|| other.machine.cmp(&self.machine))
+    }
+}
+
+impl PartialOrd for Offer {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Offer {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Offer {}
+
+/// What placing one job's tasks goes by.
+struct Desk<'a> {
+    settings: &'a Settings,
+    catalog: &'a [ClassInfo],
+    /// Within which time they are expected to start.
+    expected: Option<f64>,
+    now: Time,
+}
+
+impl Desk<'_> {
+    /// What every machine with room for the job's next task costs, and how many were
+    /// looked at.
+    fn offers(&self, h: &Holder, live: &Live, round: &Round) -> (BinaryHeap<Offer>, u64) {
+        let rec = &live.rec;
+        let zones = self.catalog.iter().flat_map(|c| &c.zones);
+        let zones: BTreeSet<&str> = zones.map(String::as_str).collect();
+        let open: Vec<&str> = zones
+            .into_iter()
+            .filter(|z| zone_allowed(live, z))
+            .collect();
+        let fits = |class: usize, spot: bool, zone: &Rc<str>| {
+            open.contains(&&**zone) && suits(rec, self.catalog, class, spot)
+        };
+        let mut looked = 0;
+        let machines = h.machines.roomy(rec.need, fits);
+        let offers = machines.filter_map(|(id, m)| {
+            looked += 1;
+            let (cost, machine) = (self.cost_of(live, m, round)?, id.clone());
+            Some(Offer { cost, machine })
+        });
+        (offers.collect(), looked)
+    }
+
+    /// What the job's next task costs on a machine that suits it; `None` if it can't go
+    /// there.
+    fn cost_of(&self, live: &Live, m: &Machine, round: &Round) -> Option<f64> {
+        let class = self.catalog.get(m.class)?;
+        if !m.free().holds(live.rec.need) || !usable(m, self.settings, self.now) {
+            return None;
+        }
+        let young = self.now.since(live.since) < KEPT_S;
+        let loses = live.rec.checkpoint_s <= 0.0;
+        let waits = young && loses && live.rec.spot && live.rec.rank <= Rank::Normal;
+        if waits && !m.spot && round.full.contains(&m.class) {
+            return None;
+        }
+        Some(cost(self.expected, live, class, m) + regret(&round.wares, live, m))
+    }
+}
+
+/// Takes the cheapest offer whose zone may still have a task of the job.
+fn best_offer(h: &Holder, live: &Live, offers: &mut BinaryHeap<Offer>) -> Option<MachineId> {
+    loop {
+        let machine = offers.pop()?.machine;
+        let zone = h.machines.get(&machine).map(|m| &m.zone);
+        if zone.is_some_and(|zone| zone_allowed(live, zone)) {
+            return Some(machine);
+        }
+    }
 }
 
 fn same_demand(a: &JobRec, b: &JobRec) -> bool {
@@ -403,16 +513,10 @@
     over.map(|t| t.name.as_str()).collect()
 }
 
-/// Whether a machine may take this job's next task, its room apart.
-fn allowed(live: &Live, class: &ClassInfo, m: &Machine) -> bool {
-    let rec = &live.rec;
-    if m.spot && !rec.spot {
-        return false;
-    }
-    if rec.types.as_ref().is_some_and(|t| !t.contains(&class.name)) {
-        return false;
-    }
-    zone_allowed(live, &m.zone)
+/// Whether a job's tasks may run on a type and kind of machine.
+fn suits(rec: &JobRec, catalog: &[ClassInfo], class: usize, spot: bool) -> bool {
+    let named = |c: &ClassInfo| rec.types.as_ref().is_none_or(|t| t.contains(&c.name));
+    (rec.spot || !spot) && catalog.get(class).is_some_and(named)
 }
 
 /// Whether a zone may take this job's next task.
@@ -447,58 +551,16 @@
         && m.health.rested(now)
 }
 
-pub(crate) fn free_room(class: &ClassInfo, m: &Machine) -> Room {
-    let mut free = class.room;
-    free.add(m.used, -1.0);
-    free
-}
-
-/// The machine where a job's next task starts soonest and costs least.
-fn pick(
-    h: &Holder,
-    catalog: &[ClassInfo],
-    settings: &Settings,
-    now: Time,
-    id: &JobId,
-    round: &Round,
-) -> Option<MachineId> {
-    let live = h.jobs.get(id)?;
-    let expected = expected_s(settings, &live.rec.class);
-    let mut best: Option<(f64, &MachineId)> = None;
-    for (name, m) in &h.machines {
-        let Some(class) = catalog.get(m.class) else {
-            continue;
-        };
-        let free = free_room(class, m);
-        if !free.holds(live.rec.need) || !usable(m, settings, now) || !allowed(live, class, m) {
-            continue;
-        }
-        let young = now.since(live.since) < KEPT_S;
-        let loses = live.rec.checkpoint_s <= 0.0;
-        let waits = young && loses && live.rec.spot && live.rec.rank <= Rank::Normal;
-        if waits && !m.spot && round.full.contains(&m.class) {
-            continue;
-        }
-        let cost = cost(h, expected, live, class, m) + regret(&round.wares, live, class, m);
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, name));
-        }
-    }
-    best.map(|(_, name)| name.clone())
-}
-
-fn cost(h: &Holder, expected: Option<f64>, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+fn cost(expected: Option<f64>, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
     let rec = &live.rec;
     let free_share = 1.0 - m.used.share_of(class.room);
-    let delay = delay_cost(expected, class, fetch_s(h, rec, class, m));
+    let delay = delay_cost(expected, class, fetch_s(rec, class, m));
     let mut cost = delay + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
-        let same = m
-            .tasks
-            .iter()
-            .filter(|t| h.jobs.get(&t.job).is_some_and(|l| Rc::ptr_eq(&l.rec, rec)));
-        cost += SPREAD_COST * same.count() as f64;
+        let seats = m.tasks.values();
+        let same = seats.filter(|s| Rc::ptr_eq(&s.rec, rec)).count();
+        cost += SPREAD_COST * same as f64;
     }
     if m.spot {
         cost -= SPOT_GAIN;
@@ -530,12 +592,14 @@
 
 fn ready_wares(h: &Holder, catalog: &[ClassInfo], settings: &Settings, now: Time) -> Wares {
     let most = h.wares.values().map(|w| w.asked(now)).fold(1e-9, f64::max);
-    let mut ready: HashMap<&Image, u32> = HashMap::new();
-    for m in h.machines.values().filter(|m| !m.spot) {
-        let Some(class) = catalog.get(m.class).filter(|_| usable(m, settings, now)) else {
+    let mut ready: BTreeMap<&Image, u32> = BTreeMap::new();
+    let needs = h.wares.values().map(|w| w.need);
+    let least = needs.reduce(Room::least).unwrap_or_default();
+    for (_, m) in h.machines.roomy(least, |_, spot, _| !spot) {
+        if !usable(m, settings, now) {
             continue;
-        };
-        let free = free_room(class, m);
+        }
+        let free = m.free();
         for (image, _) in &m.images {
             if h.wares.get(image).is_some_and(|w| free.holds(w.need)) {
                 *ready.entry(image).or_default() += 1;
@@ -561,11 +625,11 @@
 
 /// What is lost when a task takes the room that a machine has for services whose images
 /// it holds.
-fn regret(wares: &Wares, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+fn regret(wares: &Wares, live: &Live, m: &Machine) -> f64 {
     if m.spot {
         return 0.0;
     }
-    let before = free_room(class, m);
+    let before = m.free();
     let mut after = before;
     after.add(live.rec.need, -1.0);
     let images = m
@@ -578,86 +642,76 @@
 }
 
 /// Seconds until the image would be there. Images fetched at once share the rate.
-fn fetch_s(h: &Holder, rec: &JobRec, class: &ClassInfo, m: &Machine) -> f64 {
+fn fetch_s(rec: &JobRec, class: &ClassInfo, m: &Machine) -> f64 {
     if m.has_image(&rec.image) {
         return 0.0;
     }
     let whole = rec.image_gb / class.fetch_gb_s;
     let mut others: Vec<(&Image, f64)> = Vec::new();
-    for t in &m.tasks {
-        let Some(l) = h.jobs.get(&t.job) else {
-            continue;
-        };
-        let coming = l
-            .placed
-            .get(&t.index)
-            .is_some_and(|p| !matches!(p.phase, Phase::Running | Phase::Flushing));
-        if !coming || m.has_image(&l.rec.image) {
-            continue;
-        }
-        if l.rec.image == rec.image {
+    for seat in m.tasks.values().filter(|s| !s.settled) {
+        let image = &seat.rec.image;
+        if *image == rec.image {
             return whole / 2.0;
         }
-        if others.iter().all(|(i, _)| *i != &l.rec.image) {
-            others.push((&l.rec.image, l.rec.image_gb / class.fetch_gb_s));
+        if !m.has_image(image) && others.iter().all(|(i, _)| *i != image) {
+            others.push((image, seat.rec.image_gb / class.fetch_gb_s));
         }
     }
     whole + others.iter().map(|(_, s)| s.min(whole)).sum::<f64>()
 }
 
-/// The machine on which the least work of lower rank stands in a task's way.
+/// The tasks to stop for up to `most` tasks of a job: the least work of lower rank, one
+/// machine for each; and how many machines were looked at.
 fn cheapest_victims(
     h: &Holder,
     catalog: &[ClassInfo],
     live: &Live,
     now: Time,
-    used: &[MachineId],
+    most: usize,
     over: &[&str],
-) -> Option<(MachineId, Vec<TaskId>)> {
-    let mut best: Option<(f64, &MachineId, Vec<TaskId>)> = None;
-    for (name, m) in &h.machines {
-        let Some(class) = catalog.get(m.class) else {
-            continue;
-        };
-        let closed = m.up.is_none() || m.doomed.is_some() || m.notice.is_some();
-        if closed || used.contains(name) || !allowed(live, class, m) || !m.health.rested(now) {
+) -> (Vec<TaskId>, u64) {
+    let rank = live.rec.rank;
+    let fits = |class: usize, spot: bool, lowest: Rank| {
+        let yields = lowest < rank || (lowest == rank && !over.is_empty());
+        yields && suits(&live.rec, catalog, class, spot)
+    };
+    let (mut found, mut looked) = (Vec::new(), 0);
+    for (name, m) in h.machines.ranked(fits) {
+        looked += 1;
+        if !zone_allowed(live, &m.zone) || !m.health.rested(now) {
             continue;
         }
-        let Some((loss, tasks)) = victims_on(h, class, live, m, over) else {
-            continue;
-        };
-        let cost = loss + fetch_s(h, &live.rec, class, m);
-        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-            best = Some((cost, name, tasks));
+        if let Some((loss, tasks)) = victims_on(h, live, m, over) {
+            let cost = loss + fetch_s(&live.rec, &catalog[m.class], m);
+            found.push((cost, name, tasks));
         }
     }
-    best.map(|(_, name, tasks)| (name.clone(), tasks))
+    found.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+    let tasks = found.into_iter().take(most).flat_map(|(_, _, tasks)| tasks);
+    (tasks.collect(), looked)
 }
 
 /// Which tasks to stop on one machine, and what that throws away.
-fn victims_on(
-    h: &Holder,
-    class: &ClassInfo,
-    live: &Live,
-    m: &Machine,
-    over: &[&str],
-) -> Option<(f64, Vec<TaskId>)> {
+fn victims_on(h: &Holder, live: &Live, m: &Machine, over: &[&str]) -> Option<(f64, Vec<TaskId>)> {
     let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
-    for t in &m.tasks {
-        let other = h.jobs.get(&t.job)?;
-        let p = other.placed.get(&t.index)?;
+    for (t, seat) in &m.tasks {
+        let rec = &seat.rec;
+        let below = rec.rank < live.rec.rank;
+        let owed = rec.rank == live.rec.rank && over.contains(&rec.team.as_str());
+        if !below && !owed {
+            continue;
+        }
+        let p = h.jobs.get(&t.job)?.placed.get(&t.index)?;
         let started = matches!(p.phase, Phase::Fetching | Phase::Running);
-        let below = other.rec.rank < live.rec.rank;
-        let owed = other.rec.rank == live.rec.rank && over.contains(&other.rec.team.as_str());
-        if (below || owed) && p.halted.is_none() && started {
+        if p.halted.is_none() && started {
             let ran = h.heard.since(p.since);
-            let saved = other.rec.checkpoint_s > 0.0;
+            let saved = rec.checkpoint_s > 0.0;
             let loss = if saved { 3.0 } else { 5.0 + ran * 0.2 };
-            lower.push((loss, t, other.rec.need));
+            lower.push((loss, t, rec.need));
         }
     }
     lower.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let (mut free, mut loss, mut out) = (free_room(class, m), 0.0, Vec::new());
+    let (mut free, mut loss, mut out) = (m.free(), 0.0, Vec::new());
     for (cost, task, need) in lower {
         if free.holds(live.rec.need) {
             break;
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -170,6 +170,15 @@
             && need.mem <= self.mem + SLACK
     }
 
+    /// The smaller amount of each.
+    pub fn least(self, other: Room) -> Room {
+        Room {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            mem: self.mem.min(other.mem),
+        }
+    }
+
     /// The largest share that this takes of a whole.
     pub fn share_of(&self, whole: Room) -> f64 {
         let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -9,8 +9,9 @@
 //!    unchanged at the state service; or
 //! 3. the cloud said that its machine is deleted.
 
-use super::health::{BAD_JOB_MACHINES, Health, job_pause_s};
-use super::holder::{Machine, Phase};
+use super::fleet::Machine;
+use super::health::{BAD_JOB_MACHINES, job_pause_s};
+use super::holder::Phase;
 use super::*;
 use log::{debug, info, warn};
 use std::collections::BTreeSet;
@@ -69,33 +70,20 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        let Some(m) = h.machines.get_mut(id) else {
+        let number = h.number;
+        let proof = report.number == number.0;
+        let taken = h.machines.edit(id, |m| m.take_report(now, &report, proof));
+        let Some(taken) = taken else {
             return;
         };
-        let (number, fresh) = (h.number, (report.session, report.seq) > (m.session, m.seq));
-        if !fresh {
+        if !taken.fresh {
             // A copy, or overtaken by a newer one: it is answered, since its worker
             // may still wait, but nothing in it is news.
-            m.answered = now;
             return self.answer(req, Reply::ok(200, commands_body(number, &[])));
         }
-        (m.session, m.seq, m.seen) = (report.session, report.seq, now);
-        let proof = report.number == number.0;
-        m.shown |= proof;
-        if m.up.is_none() {
-            m.up = Some(now);
-            m.empty.get_or_insert(now);
-            h.place_wanted = true;
-            let boot = now.since(m.since);
-            info!(
-                "machine {id} ({}, {}) is up after {boot:.0} s",
-                m.class_name, m.zone
-            );
-        }
-        m.notice = report.notice_s.map(|s| now.after(s.0));
-        if let Some((old, until)) = m.held.take() {
+        h.place_wanted |= taken.born;
+        if let Some((old, until)) = taken.held {
             h.releases.remove(&(until, id.clone()));
-            m.answered = now;
             self.answer(old, Reply::ok(200, commands_body(number, &[])));
         }
         self.read_tasks(id, &report, proof);
@@ -110,22 +98,18 @@
     /// was carried out late. It is used, or returned when it isn't wanted.
     fn adopt(&mut self, id: &MachineId, report: &Report) {
         let now = self.now;
-        let class = self.catalog.iter().position(|c| c.name == report.class);
         let Some(h) = &mut self.holder else {
             return;
         };
-        if let Some(m) = h.machines.get_mut(id) {
-            // Known by name only, or from before the catalogue was.
-            if m.class == usize::MAX {
-                m.class = class.unwrap_or(usize::MAX);
-                m.class_name = report.class.as_str().into();
-                (m.zone, m.spot) = (report.zone.as_str().into(), report.spot);
-            }
+        let (class, zone, spot) = (&report.class, &report.zone, report.spot);
+        if h.machines.contains_key(id) {
+            // It may be known by name only, or from before the catalogue was.
+            let learn = |m: &mut Machine| m.learn(&self.catalog, class, zone, spot);
+            h.machines.edit(id, learn);
             return;
         }
-        let class_name = report.class.as_str();
-        let machine = Machine::new(class, class_name, &report.zone, report.spot, now);
-        h.add_machine(id.clone(), machine);
+        let machine = Machine::new(&self.catalog, class, zone, spot, now);
+        h.machines.insert(id.clone(), machine);
     }
 
     /// Whether the answer may wait for a command. Only a quiet report waits, and
@@ -136,14 +120,11 @@
         let Some(h) = &mut self.holder else {
             return false;
         };
-        let Some(m) = h.machines.get_mut(id) else {
-            return false;
-        };
         // A worker without our number yet gets it at once.
-        if hold <= 0.0 || !m.shown {
+        if hold <= 0.0 || !h.machines.get(id).is_some_and(|m| m.shown) {
             return false;
         }
-        m.held = Some((req, until));
+        h.machines.edit(id, |m| m.held = Some((req, until)));
         h.releases.insert((until, id.clone()));
         true
     }
@@ -191,10 +172,10 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        if let Some(m) = h.machines.get_mut(id) {
+        h.machines.edit(id, |m| {
             m.answered = now;
             m.held = None;
-        }
+        });
         let body = commands_body(h.number, commands);
         self.answer(req, Reply::ok(200, body));
     }
@@ -219,7 +200,7 @@
         let Some(m) = h.machines.get(id) else {
             return;
         };
-        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
         for task in tasks {
             let Some(p) = h
                 .jobs
@@ -269,13 +250,20 @@
             return;
         }
         (p.phase, p.since) = (phase, now);
-        if phase == Phase::Running {
-            let (image, gb) = (live.rec.image.clone(), live.rec.image_gb);
-            if let Some(m) = h.machines.get_mut(id) {
-                let cache = self.catalog.get(m.class).map_or(f64::MAX, |c| c.cache_gb);
-                m.use_image(&image, gb, cache);
-            }
+        if phase == Phase::Fetching {
+            return;
         }
+        let rec = live.rec.clone();
+        let catalog = &self.catalog;
+        h.machines.edit(id, |m| {
+            if let Some(seat) = m.tasks.get_mut(task) {
+                seat.settled = true;
+            }
+            if phase == Phase::Running {
+                let cache = catalog.get(m.class).map_or(f64::MAX, |c| c.cache_gb);
+                m.use_image(&rec.image, rec.image_gb, cache);
+            }
+        });
     }
 
     /// An attempt ended. That it did is true however old the report is.
@@ -286,17 +274,13 @@
         };
         match cause {
             Some(Cause::Done) => {
-                if let Some(m) = h.machines.get_mut(id) {
-                    m.health.succeeded();
-                }
+                h.machines.edit(id, |m| m.health.succeeded());
                 return h.set_done(now, task);
             }
             Some(Cause::Error) => self.task_failed(id, task),
             Some(Cause::Full) => {
                 warn!("machine {id} has no room for {task}");
-                if let Some(m) = h.machines.get_mut(id) {
-                    m.full_until = now.after(FULL_S);
-                }
+                h.machines.edit(id, |m| m.full_until = now.after(FULL_S));
             }
             Some(Cause::Unknown) => {
                 // Its description isn't there yet, or never will be.
@@ -328,17 +312,16 @@
             "task {task} failed on {id}, failure {} in a row",
             live.fails
         );
-        let Some(m) = h.machines.get_mut(id) else {
-            return;
-        };
-        // A job that fails everywhere mustn't take the fleet down with it.
-        if blame {
-            m.health.failed(now, &task.job);
-        }
-        if m.health.sick() && m.doomed.is_none() {
-            warn!("machine {id} fails what it is given: to be replaced");
-            m.doomed = Some(now.after(DRAIN_S));
-        }
+        h.machines.edit(id, |m| {
+            // A job that fails everywhere mustn't take the fleet down with it.
+            if blame {
+                m.health.failed(now, &task.job);
+            }
+            if m.health.sick() && m.doomed.is_none() {
+                warn!("machine {id} fails what it is given: to be replaced");
+                m.doomed = Some(now.after(DRAIN_S));
+            }
+        });
     }
 
     /// What a machine is to do now. Derived from what is known, not from what was
@@ -359,7 +342,7 @@
         let Some(m) = h.machines.get(id) else {
             return out;
         };
-        let tasks: Vec<TaskId> = m.tasks.iter().cloned().collect();
+        let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
         let starts = !blind && m.doomed.is_none();
         for task in tasks {
             let Some(live) = h.jobs.get_mut(&task.job) else {
@@ -467,12 +450,12 @@
             return;
         };
         let mut lost = Vec::new();
-        for (id, m) in &h.machines {
+        for (id, m) in h.machines.iter() {
             let over = m.answered.after(lease);
             // The read was sent after the lease's end, and the block is still ours.
             let known = m.shown && m.held.is_none() && !m.tasks.is_empty();
             if known && fresh > over && now > over && self.nobody_sheltered(&m.zone, over, lease) {
-                lost.push((id.clone(), m.tasks.iter().cloned().collect::<Vec<_>>()));
+                lost.push((id.clone(), m.tasks.keys().cloned().collect::<Vec<_>>()));
             }
         }
         let Some(h) = &mut self.holder else {
@@ -618,19 +601,17 @@
             return;
         };
         let mut stop = Vec::new();
-        for m in h.machines.values() {
+        for (_, m) in h.machines.leaving() {
             let sick = m.doomed.is_some();
             if !sick && m.notice.is_none_or(|at| at <= now) {
                 continue;
             }
-            for task in &m.tasks {
-                let Some(live) = h.jobs.get(&task.job) else {
-                    continue;
-                };
-                let Some(p) = live.placed.get(&task.index) else {
+            for (task, seat) in &m.tasks {
+                let live = h.jobs.get(&task.job);
+                let Some(p) = live.and_then(|l| l.placed.get(&task.index)) else {
                     continue;
                 };
-                let moves = live.rec.form == Form::Service || live.rec.checkpoint_s > 0.0;
+                let moves = seat.rec.form == Form::Service || seat.rec.checkpoint_s > 0.0;
                 if p.halted.is_none() && (sick || moves) && p.phase != Phase::Committing {
                     stop.push(task.clone());
                 }
@@ -671,68 +652,57 @@
     })
 }
 
-impl Machine {
-    pub(crate) fn new(
-        class: Option<usize>,
-        class_name: &str,
-        zone: &str,
-        spot: bool,
-        now: Time,
-    ) -> Self {
-        Self {
-            class: class.unwrap_or(usize::MAX),
-            class_name: class_name.into(),
-            zone: zone.into(),
-            spot,
-            since: now,
-            up: None,
-            session: 0,
-            seq: 0,
-            shown: false,
-            seen: now,
-            answered: now,
-            notice: None,
-            tasks: BTreeSet::new(),
-            used: Room::default(),
-            doomed: None,
-            deleting: false,
-            held: None,
-            images: Vec::new(),
-            health: Health::default(),
-            empty: Some(now),
-            closing: false,
-            full_until: Time(0),
-        }
-    }
+/// What came of a report's head.
+struct Taken {
+    /// It is newer than any before it.
+    fresh: bool,
+    /// It is the machine's first.
+    born: bool,
+    /// The older report that waited for its answer.
+    held: Option<(ReqId, Time)>,
 }
 
-impl Holder {
-    /// Enters a machine, with what is already known to be placed on it.
-    pub(crate) fn add_machine(&mut self, id: MachineId, mut machine: Machine) {
-        for (job, live) in &self.jobs {
-            for (index, p) in &live.placed {
-                if p.machine == id {
-                    machine.used.add(live.rec.need, 1.0);
-                    machine.tasks.insert(TaskId {
-                        job: job.clone(),
-                        index: *index,
-                    });
-                }
-            }
+impl Machine {
+    /// Takes in all of a report but its tasks. An answer follows in any case.
+    fn take_report(&mut self, now: Time, report: &Report, proof: bool) -> Taken {
+        let fresh = (report.session, report.seq) > (self.session, self.seq);
+        let born = fresh && self.up.is_none();
+        if !fresh {
+            self.answered = now;
+            return Taken {
+                fresh,
+                born,
+                held: None,
+            };
+        }
+        (self.session, self.seq, self.seen) = (report.session, report.seq, now);
+        self.shown |= proof;
+        if born {
+            self.up = Some(now);
+            self.empty.get_or_insert(now);
+            let boot = now.since(self.since);
+            info!(
+                "machine {} ({}, {}) is up after {boot:.0} s",
+                report.machine, self.class_name, self.zone
+            );
         }
-        if !machine.tasks.is_empty() {
-            machine.empty = None;
+        self.notice = report.notice_s.map(|s| now.after(s.0));
+        let held = self.held.take();
+        if held.is_some() {
+            self.answered = now;
         }
-        self.machines.insert(id, machine);
+        Taken { fresh, born, held }
     }
+}
 
+impl Holder {
     /// Decides to delete a machine. Nothing is placed on it from now on.
     pub(crate) fn doom(&mut self, now: Time, id: &MachineId, why: &str) {
-        if let Some(m) = self.machines.get_mut(id)
-            && m.doomed.is_none()
-        {
-            info!("machine {id} is to be deleted: {why}");
-            m.doomed = Some(now);
-        }
+        self.machines.edit(id, |m| {
+            if m.doomed.is_none() {
+                info!("machine {id} is to be deleted: {why}");
+                m.doomed = Some(now);
+            }
+        });
     }
 }
--- a/src/gauge.rs
+++ b/src/gauge.rs
@@ -65,7 +65,8 @@
         let line = format!(
             "load: {:.0} steps/s of {:.2} ms ({:.2} at p99, {:.1} at most); commits {:.0} ms \
              ({:.0} at p99); {:.1} of {:.0} requests, {:.1} of {:.0} changes, {:.2} of {:.1} cloud \
-             calls a second; {} refused; {} writes queued at most; {sockets} of {most} sockets",
+             calls a second; {} refused; {} writes queued at most; {} machines looked at for {} tasks \
+             placed; {sockets} of {most} sockets",
             steps.len() as f64 / passed,
             steps.mean() / 1000.0,
             ms(steps.value_at_quantile(0.99)),
@@ -80,6 +81,8 @@
             load.cloud_rate,
             self.refused,
             self.queued,
+            load.looked - b.looked,
+            load.placed - b.placed,
         );
         self.steps.reset();
         self.commits.reset();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -40,9 +40,51 @@
                 .ok_or(Failed::from(format!("not seen: {:?}", c.broken)))
         }));
     }
+    trials.push(Trial::test(
+        "work follows what changes",
+        work_follows_changes,
+    ));
     libtest_mimic::run(&args, trials).exit();
 }
 
+/// How many machines a holder looks at to place a burst on a fleet of which all but a
+/// few machines are full.
+fn looked_at(machines: u32) -> Result<u64, Failed> {
+    let text = |end| {
+        let mut text = format!(
+            "type g8\nteam t\nreport 2.5\nstate rps=600 write=250 kb=8 ops=16\nroom g8 a {machines}\n\
+             machines g8 a {machines}\nat 12 submit j-1 count={} run=500 rank=critical\nend {end}\n",
+            8 * (machines - 10),
+        );
+        for n in 0..40 {
+            text += &format!("at 40 submit j-{} count=4 run=5\n", n + 2);
+        }
+        text
+    };
+    let looked = |end| {
+        let mut world = World::new(&words(&text(end)));
+        world.run();
+        let cores = world.nodes.iter().filter_map(|n| n.core.as_ref());
+        let loads: Vec<_> = cores.map(|c| c.load()).collect();
+        let sum = |f: fn(&salttrestle::core::Load) -> u64| loads.iter().map(f).sum::<u64>();
+        (sum(|l| l.looked), sum(|l| l.placed))
+    };
+    let (before, after) = (looked(39), looked(75));
+    if after.1 < before.1 + 160 {
+        return Err(format!("only {} tasks placed", after.1 - before.1).into());
+    }
+    Ok(after.0 - before.0)
+}
+
+/// A placement looked at every machine there is. At four times the size, what a burst
+/// costs must hardly grow.
+fn work_follows_changes() -> Result<(), Failed> {
+    let (small, large) = (looked_at(50)?, looked_at(200)?);
+    let good = small > 0 && large < 2 * small;
+    good.then_some(())
+        .ok_or(format!("{small} machines looked at, then {large}").into())
+}
+
 fn words(text: &str) -> Vec<Vec<String>> {
     let lines = text.lines().map(|l| l.split('#').next().unwrap_or(""));
     lines
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -372,6 +372,9 @@
             }
             Ev::Heal(id) => self.heal(id),
             Ev::Check => {
+                let cores = self.nodes.iter().filter_map(|n| n.core.as_ref());
+                let wrong = cores.filter_map(|c| c.audit().err());
+                self.checker.broken.extend(wrong);
                 let now = self.now;
                 self.checker.check_cancelled(now);
                 self.state.expire(now);
