--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -285,7 +285,6 @@
 
     fn tick(&mut self) {
         let now = self.now;
-        let window_s = self.settings.tuning.window_s;
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -320,6 +319,7 @@
                 let name = self.catalog[pool.0].name.clone();
                 lead.needs.insert((name, pool.1, *block), need);
             }
+            let window_s = self.settings.tuning.window * self.catalog[pool.0].ready_s;
             lead.scale.remember(pool, now, wanted, window_s);
             let room = ceiling.saturating_sub(provisioned);
             if wanted >= ceiling {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -316,6 +316,14 @@
         self.all.contains_key(id)
     }
 
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
         self.all.iter()
     }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -30,6 +30,8 @@
 /// while: starts that are stopped soon after don't count for anyone.
 const CLOSE_SHARE: f64 = 0.5;
 const STEADY_S: f64 = 45.0;
+/// Share of a fleet that one tick may empty, and one machine at least.
+const MOVE_SHARE: f64 = 0.02;
 /// Most tasks placed in one round, so that a swarm doesn't hold up everything else.
 const ROUND_MAX: usize = 64;
 
@@ -244,20 +246,36 @@
         for id in changed {
             h.machines.edit(&id, |m| m.closing = !m.closing);
         }
-        let all_fit = |id: &MachineId| {
-            let tasks: Vec<TaskId> = h.machines.get(id)?.tasks.keys().cloned().collect();
-            fits_elsewhere(h, &self.catalog, &self.settings, now, id, &tasks).then_some(tasks)
-        };
-        let movable = spare.iter().find_map(|id| Some((id.clone(), all_fit(id)?)));
-        let Some((machine, tasks)) = movable.filter(|(_, tasks)| !tasks.is_empty()) else {
-            return;
-        };
-        log::info!(
-            "machine {machine} is emptied: its {} tasks fit elsewhere",
-            tasks.len()
-        );
-        for task in tasks {
-            self.halt(&task);
+        // One a tick never caught up with a fleet of hundreds that shrinks.
+        let most = (h.machines.len() as f64 * MOVE_SHARE).ceil() as usize;
+        let (mut taken, mut moves) = (BTreeMap::new(), Vec::new());
+        let mut standing = 0;
+        for id in &spare {
+            let Some(m) = h.machines.get(id).filter(|_| moves.len() < most) else {
+                break;
+            };
+            // What shall never be down is moved one machine at a time.
+            let critical = m.tasks.values().any(|s| s.rec.rank == Rank::Critical);
+            if critical && standing > 0 {
+                continue;
+            }
+            let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
+            let now_taken =
+                fits_elsewhere(h, &self.catalog, &self.settings, now, id, &tasks, &taken);
+            if let Some(now_taken) = now_taken.filter(|_| !tasks.is_empty()) {
+                taken = now_taken;
+                standing += usize::from(critical);
+                moves.push((id.clone(), tasks));
+            }
+        }
+        for (machine, tasks) in moves {
+            log::info!(
+                "machine {machine} is emptied: its {} tasks fit elsewhere",
+                tasks.len()
+            );
+            for task in tasks {
+                self.halt(&task);
+            }
         }
     }
 }
@@ -299,6 +317,11 @@
     spare
 }
 
+/// Room that moves of this tick take on other machines.
+type Taken = BTreeMap<MachineId, Room>;
+
+/// Whether all of a machine's tasks would fit elsewhere, beside what other moves take
+/// there; what is taken with them.
 fn fits_elsewhere(
     h: &Holder,
     catalog: &[ClassInfo],
@@ -306,44 +329,39 @@
     now: Time,
     from: &MachineId,
     tasks: &[TaskId],
-) -> bool {
-    let mut taken: BTreeMap<&MachineId, Room> = BTreeMap::new();
+    taken: &Taken,
+) -> Option<Taken> {
+    let mut taken = taken.clone();
     for task in tasks {
-        let Some(live) = h.jobs.get(&task.job) else {
-            return false;
-        };
-        let Some(p) = live.placed.get(&task.index) else {
-            return false;
-        };
+        let live = h.jobs.get(&task.job)?;
+        let p = live.placed.get(&task.index)?;
         let steady = p.phase == Phase::Running && now.since(p.since) > STEADY_S;
         if live.rec.form != Form::Service || p.halted.is_some() || !steady {
-            return false;
+            return None;
         }
         let mut best: Option<(f64, &MachineId)> = None;
         let fits = |class: usize, spot: bool, _: &Rc<str>| suits(&live.rec, catalog, class, spot);
         for (id, m) in h.machines.roomy(live.rec.need, fits) {
             let mut free = m.free();
             free.add(taken.get(id).copied().unwrap_or_default(), -1.0);
-            // The task itself still stands in its zone's count: a strict reading that
-            // only ever keeps it where it is.
+            // In its own zone it takes its own place.
+            let zoned = m.zone == p.zone || zone_allowed(live, &m.zone);
             let good = id != from
                 && !m.tasks.is_empty()
                 && !m.closing
                 && free.holds(live.rec.need)
                 && m.has_image(&live.rec.image)
                 && usable(m, settings, now)
-                && zone_allowed(live, &m.zone);
+                && zoned;
             let left = free.share_of(m.room);
             if good && best.is_none_or(|(least, _)| left < least) {
                 best = Some((left, id));
             }
         }
-        let Some((_, id)) = best else {
-            return false;
-        };
-        taken.entry(id).or_default().add(live.rec.need, 1.0);
+        let (_, id) = best?;
+        taken.entry(id.clone()).or_default().add(live.rec.need, 1.0);
     }
-    true
+    Some(taken)
 }
 
 /// The types whose ordinary machines have no more room than is kept for urgent starts.
