Bounds follow sockets and message sizes; controllers that stand still are played

Reports that wait for a holder and users' requests that wait are bounded by the sockets (400 before). Workers may use three quarters of the sockets, so that users and health checks get through. The limit on open files is raised as far as the sockets need.

--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -53,8 +53,9 @@
 const SUBMIT_S: f64 = 3.0;
 /// Halts and the reports that confirm them mostly take less than this.
 const LEAVE_S: f64 = 2.5;
-/// Most requests that wait at once. What comes on top is told when to come back.
-const WAITING_MAX: usize = 400;
+/// Most requests of a kind that wait at once, as a share of the sockets. What comes on top
+/// is told when to come back.
+const WAITING_SHARE: f64 = 0.8;
 /// Submissions that wait are at most what the change budget clears in this time.
 const SUBMIT_BACKLOG_S: f64 = 1.5;
 
@@ -122,7 +123,7 @@
         rec.block = self.block_for(&id);
         let wps = self.settings.platform.facts.state.write_rps;
         let room = (wps * SUBMIT_BACKLOG_S) as usize;
-        if self.front.submissions.len() >= room.clamp(8, WAITING_MAX) {
+        if self.front.submissions.len() >= room.min(self.waiting_most()).max(8) {
             return self.answer(req, Reply::later(429, 2, "too many submissions"));
         }
         let asked = self.now;
@@ -135,6 +136,11 @@
         self.front.submissions.push_back(submission);
     }
 
+    fn waiting_most(&self) -> usize {
+        let sockets = self.settings.platform.facts.resources.max_sockets;
+        (sockets as f64 * WAITING_SHARE) as usize
+    }
+
     /// Tasks per run record: a placed task takes about 60 bytes as JSON, and half of
     /// the value limit is left for the rest.
     fn chunk_size(&self) -> u32 {
@@ -171,7 +177,7 @@
         if let Some(ending) = self.cache.ending(&id) {
             return self.answer_ending(req, &id, ending);
         }
-        if self.blind() || self.front.questions.len() >= WAITING_MAX {
+        if self.blind() || self.front.questions.len() >= self.waiting_most() {
             return self.answer(req, Reply::later(503, 1, "present state isn't known"));
         }
         let asked = self.now;
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -25,10 +25,9 @@
     since: Time,
 }
 
-/// How long such a report waits at most, in seconds, and how many do at once. Workers
-/// wait for 4 s.
+/// How long such a report waits at most, in seconds. Workers wait for 4 s. How many do at
+/// once is bounded by the connections on which they came.
 const LOST_S: f64 = 3.0;
-const LOST_MAX: usize = 400;
 /// A report handed on is answered here when no answer came this long after the time
 /// for which the holder may hold it.
 const RELAY_GRACE_S: f64 = 1.0;
@@ -153,7 +152,8 @@
             .is_some_and(|h| self.reachable(&h) || self.shut_off(&h));
         let waited = self.now.since(since) >= LOST_S;
         let starting = !self.listed;
-        let full = self.relays.lost.len() >= LOST_MAX;
+        let sockets = self.settings.platform.facts.resources.max_sockets;
+        let full = self.relays.lost.len() >= sockets;
         if known || waited || full || (self.blind() && !starting) {
             return self.steer(req, &id);
         }
--- a/src/net.rs
+++ b/src/net.rs
@@ -24,11 +24,16 @@
 const CLOCK_START_MS: u64 = 10_000_000;
 /// Sockets kept for the state service, the cloud, siblings and listeners.
 const OUTGOING_SOCKETS: usize = 40;
+/// Share of the other sockets that workers may use: users and health checks get through
+/// however many machines there are. Users' connections give way to workers' below that.
+const WORKER_SHARE: f64 = 0.75;
+/// Open files that aren't connections: listeners, the poller's, the standard streams.
+const OTHER_FILES: usize = 16;
 const STATE_CONNS: usize = 12;
 const CLOUD_CONNS: usize = 4;
 /// Most bytes that wait to be written to one connection.
 const OUT_MAX: usize = 1 << 20;
-const PEER_OUT_MAX: usize = 8 * peer::MESSAGE_MAX;
+const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
 /// A whole request has to come within this time.
 const REQUEST_S: f64 = 10.0;
 /// Quiet connections are closed after this time, or sooner when sockets are short.
@@ -159,6 +164,8 @@
     inputs: VecDeque<Input>,
     sweep_at: Time,
     inbound: usize,
+    /// Connections on which workers reported.
+    workers: usize,
     gauge: Gauge,
 }
 
@@ -167,6 +174,7 @@
     let poller = Poller::new()?;
     let listener = listen(&poller, settings.platform.listen, LISTEN)?;
     let peer_listener = listen(&poller, settings.platform.peer_listen, PEER_LISTEN)?;
+    allow_files(settings.platform.facts.resources.max_sockets);
     info!(
         "salttrestle {} as {} on {}",
         env!("CARGO_PKG_VERSION"),
@@ -194,11 +202,23 @@
         inputs: VecDeque::new(),
         sweep_at: Time(0),
         inbound: 0,
+        workers: 0,
         gauge: Gauge::new(Time(CLOCK_START_MS)),
     };
     net.run()
 }
 
+/// A system's usual limit on open files may be far below the sockets that the platform
+/// grants: raises it as far as it goes.
+fn allow_files(sockets: usize) {
+    let wanted = (sockets + OTHER_FILES) as u64;
+    match rlimit::increase_nofile_limit(wanted) {
+        Ok(got) if got >= wanted => info!("{got} files may be open, for {sockets} sockets"),
+        Ok(got) => warn!("only {got} files may be open, for {sockets} sockets"),
+        Err(e) => warn!("the limit on open files isn't known: {e}"),
+    }
+}
+
 fn listen(poller: &Poller, at: SocketAddrV4, key: usize) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(at)?;
     listener.set_nonblocking(true)?;
@@ -266,7 +286,11 @@
                 Output::State(call, op) => self.start_call(call, Op::State(op)),
                 Output::Cloud(call, op) => self.start_call(call, Op::Cloud(op)),
                 Output::Forget(call) => self.end_call(call),
-                Output::Peer(to, message) => self.say(to.as_ref(), &peer::frame(&message)),
+                Output::Peer(to, message) => match peer::frame(&message) {
+                    Ok(bytes) => self.say(to.as_ref(), &bytes),
+                    // Whoever waits for it does without, as if it had been lost.
+                    Err(size) => warn!("a message of {size} bytes to siblings is too large"),
+                },
             }
         }
     }
@@ -303,9 +327,7 @@
     }
 
     fn accepted(&mut self, stream: TcpStream, peer: bool) {
-        let room = self.settings.platform.facts.resources.max_sockets;
-        let room = room.saturating_sub(OUTGOING_SOCKETS).max(8);
-        if self.inbound >= room && !self.shed() {
+        if self.inbound >= self.room() && !self.shed() {
             return;
         }
         let role = if peer {
@@ -323,6 +345,12 @@
         }
     }
 
+    /// Sockets for those who connect.
+    fn room(&self) -> usize {
+        let all = self.settings.platform.facts.resources.max_sockets;
+        all.saturating_sub(OUTGOING_SOCKETS).max(8)
+    }
+
     /// Closes the user connection that has been quiet for longest, to make room.
     fn shed(&mut self) -> bool {
         let quiet = |c: &Conn| {
@@ -377,8 +405,11 @@
         };
         let _ = self.poller.delete(&conn.stream);
         match &mut conn.role {
-            Role::Server { pending, .. } => {
+            Role::Server {
+                pending, worker, ..
+            } => {
                 self.inbound -= 1;
+                self.workers -= usize::from(*worker);
                 if let Some(req) = pending.take() {
                     self.requests.remove(&req);
                     self.inputs.push_back(Input::Hangup(req));
@@ -607,7 +638,9 @@
     fn request(&mut self, key: usize, message: &Message) {
         let path = message.start[1].split('?').next().unwrap_or("");
         let ask = route(&message.start[0], path, &message.body);
-        let close = message.close;
+        let mut close = message.close;
+        let full = self.workers as f64 >= self.room() as f64 * WORKER_SHARE;
+        let mut ask = ask;
         if let Some(Conn {
             role: Role::Server {
                 close: c, worker, ..
@@ -615,8 +648,14 @@
             ..
         }) = self.conns.get_mut(&key)
         {
+            let reports = matches!(ask, Ok(Ask::Report(_)));
+            if reports && !*worker && full {
+                (ask, close) = (Err((503, "too many workers")), true);
+            } else if reports && !*worker {
+                *worker = true;
+                self.workers += 1;
+            }
             *c |= close;
-            *worker |= matches!(ask, Ok(Ask::Report(_)));
         }
         match ask {
             Ok(ask) => {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,9 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Raised when a message changes its form; other versions are dropped.
-const VERSION: u8 = 2;
-/// Most bytes of one message.
-pub const MESSAGE_MAX: usize = 16 * 1024;
+const VERSION: u8 = 3;
+/// Most bytes of one message. The longest are counts: names of machines within a bound,
+/// and a line for each pool, zone and team, of which there may be hundreds.
+pub const MESSAGE_MAX: usize = 256 * 1024;
+/// Bytes before a message: its length and the version.
+const HEAD: usize = 5;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -169,28 +172,31 @@
     pub gpus_wanted: f64,
 }
 
-/// Frames a message.
-pub fn frame(message: &Message) -> Vec<u8> {
+/// Frames a message; `Err` with its size if no sibling would take it.
+pub fn frame(message: &Message) -> Result<Vec<u8>, usize> {
     let body = postcard::to_stdvec(message).unwrap_or_default();
-    let mut out = Vec::with_capacity(body.len() + 3);
-    out.extend_from_slice(&(body.len() as u16).to_be_bytes());
+    if body.is_empty() || body.len() > MESSAGE_MAX {
+        return Err(body.len());
+    }
+    let mut out = Vec::with_capacity(body.len() + HEAD);
+    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
     out.push(VERSION);
     out.extend_from_slice(&body);
-    out
+    Ok(out)
 }
 
 /// Takes the next whole message off a buffer. `Err` when the peer must be dropped.
 pub fn unframe(buf: &mut Vec<u8>) -> Result<Option<Message>, &'static str> {
-    while buf.len() >= 3 {
-        let size = u16::from_be_bytes([buf[0], buf[1]]) as usize;
+    while buf.len() >= HEAD {
+        let size = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
         if size > MESSAGE_MAX {
             return Err("message too large");
         }
-        if buf.len() < size + 3 {
+        if buf.len() < size + HEAD {
             return Ok(None);
         }
-        let version = buf[2];
-        let body: Vec<u8> = buf.drain(..size + 3).skip(3).collect();
+        let version = buf[HEAD - 1];
+        let body: Vec<u8> = buf.drain(..size + HEAD).skip(HEAD).collect();
         if version == VERSION {
             return postcard::from_bytes(&body)
                 .map(Some)
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -330,22 +330,31 @@
         echoes: vec![("n1".into(), 3, 5)],
         sheltered_ms: 9,
     });
-    let framed = peer::frame(&hello);
+    let framed = peer::frame(&hello).expect("a message of usual size");
     let mut buf = [framed.clone(), framed[..4].to_vec()].concat();
     assert_eq!(peer::unframe(&mut buf), Ok(Some(hello)));
     assert_eq!(peer::unframe(&mut buf), Ok(None));
     assert!(
-        peer::unframe(&mut vec![0xff, 0xff, 1]).is_err(),
+        peer::unframe(&mut vec![0xff, 0xff, 0, 0, 1]).is_err(),
         "too large"
     );
-    let version = framed[2];
+    let version = framed[4];
     assert!(
-        peer::unframe(&mut vec![0, 1, version, 9]).is_err(),
+        peer::unframe(&mut vec![0, 0, 0, 1, version, 9]).is_err(),
         "malformed"
     );
-    let mut other_version = vec![0, 1, 99, 9];
+    let mut other_version = vec![0, 0, 0, 1, 99, 9];
     assert_eq!(peer::unframe(&mut other_version), Ok(None));
     assert!(other_version.is_empty(), "another version is passed over");
+    // A message that no sibling would take is refused here, not cut off.
+    let large = peer::Message::BeatAnswer(peer::BeatAnswer {
+        boot: 1,
+        req: 2,
+        status: 200,
+        body: vec![0; peer::MESSAGE_MAX],
+        retry_after: None,
+    });
+    assert!(peer::frame(&large).is_err(), "too large to send");
 }
 
 const PLATFORM: &str = r#"{"member":"n0","site":"a","listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -79,6 +79,8 @@
     requests: Vec<u64>,
     /// The state service refuses it until then.
     pub refused_until: u64,
+    /// It stands still until then, while its clock runs on.
+    frozen_until: u64,
     woken_for: u64,
 }
 
@@ -231,6 +233,7 @@
             drift: if n % 2 == 0 { drift } else { -drift },
             requests: Vec::new(),
             refused_until: 0,
+            frozen_until: 0,
             woken_for: 0,
         });
         let mut world = Self {
@@ -340,7 +343,19 @@
         }
     }
 
+    /// What reaches a node that stands still waits for it.
+    fn frozen(&self, ev: &Ev) -> Option<u64> {
+        let (Ev::Node(n, ..) | Ev::Wake(n, _)) = ev else {
+            return None;
+        };
+        let until = self.nodes[*n].frozen_until;
+        (until > self.now).then_some(until)
+    }
+
     fn event(&mut self, ev: Ev) {
+        if let Some(until) = self.frozen(&ev) {
+            return self.at(until, ev);
+        }
         match ev {
             Ev::Node(n, boot, input) => {
                 if self.nodes[n].boot == boot {
@@ -403,7 +418,7 @@
         let platform = Platform::parse(&p.to_string(), "scenario").expect("good settings");
         let tuning = Tuning::parse(Some(("scenario", &self.tuning))).expect("good tuning");
         self.nodes[n].boot += 1;
-        self.nodes[n].woken_for = u64::MAX;
+        (self.nodes[n].woken_for, self.nodes[n].frozen_until) = (u64::MAX, 0);
         let boot = self.nodes[n].boot * 10 + n as u64;
         self.nodes[n].core = Some(Core::new(Settings { platform, tuning }, boot));
         self.feed(n, Input::Tick);
@@ -752,6 +767,10 @@
                 let n = self.node_arg(&args[0]);
                 self.kill(n, ms(num(args, "down", 3.0)));
             }
+            "freeze" => {
+                let n = self.node_arg(&args[0]);
+                self.nodes[n].frozen_until = until;
+            }
             "cut" => self.make_cuts(args, until),
             "refuse" => {
                 let n = self.node_arg(&args[0]);
