The plan and the blocks' lists stay within a value at any number of machines and pools

A list held 71 machines in 8 KiB, and machines beyond that were never used. Now answered requests leave a plan that is too large, lists are packed by type and zone (1,200 machines in 8 KiB), a list that can't be made leaves the fleet one block, and full lists make one more block.

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -74,6 +74,8 @@
 const LISTED_LAGS: f64 = 3.0;
 /// Jobs that failed this often in a row don't make the fleet grow.
 const HOPELESS: u32 = 6;
+/// Share of the value limit that the plan may fill.
+const PLAN_SHARE: f64 = 0.9;
 /// A machine this much free counts as room kept for urgent starts.
 const SPARE_SHARE: f64 = 0.5;
 
@@ -525,14 +527,16 @@
             let name = self.catalog.get(*class)?.name.clone();
             Some((name, *spot, w.back()?.1))
         });
-        let plan = PlanRec {
+        let mut plan = PlanRec {
             number: lead.number,
             wanted: wanted.collect(),
-            hires: s.hires.iter().map(|x| x.rec.clone()).collect(),
             shares: shares.clone(),
             closed: closed.clone(),
-            returns: s.returns.clone(),
+            ..PlanRec::default()
         };
+        let most = self.settings.platform.facts.state.value_kb * 1024.0 * PLAN_SHARE;
+        let left = (most as usize).saturating_sub(json_bytes(&plan));
+        (plan.hires, plan.returns) = s.fit(left);
         let op = StateOp::Commit {
             when,
             writes: vec![Write::put(Key::Plan, Record::Plan(plan))],
@@ -911,6 +915,35 @@
 }
 
 impl Scale {
+    /// The requests to rent and the machines to return that fit into so many bytes. With
+    /// many pools and zones a plan outgrew its value, and then nothing was rented. Requests
+    /// that are answered go first: they only help a new leader before its list does; those
+    /// that nobody has sent are planned again.
+    fn fit(&mut self, bytes: usize) -> (Vec<HireRec>, Vec<MachineId>) {
+        let mut used: usize = self.hires.iter().map(|x| json_bytes(&x.rec)).sum();
+        while used > bytes {
+            let answered = |x: &Hire| x.step == HireStep::Answered;
+            let planned = |x: &Hire| x.step == HireStep::Planned;
+            let oldest = self.hires.iter().position(answered);
+            let Some(at) = oldest.or_else(|| self.hires.iter().rposition(planned)) else {
+                break;
+            };
+            used -= json_bytes(&self.hires.remove(at).rec);
+        }
+        let hires = self.hires.iter().map(|x| x.rec.clone()).collect();
+        let mut left = bytes.saturating_sub(used);
+        let fits = |id: &&MachineId| {
+            let size = json_bytes(*id);
+            let fits = size <= left;
+            left = left.saturating_sub(size);
+            fits
+        };
+        (
+            hires,
+            self.returns.iter().take_while(fits).cloned().collect(),
+        )
+    }
+
     /// Plans rentals, each machine to the open zone with fewest such machines.
     fn rent(
         &mut self,
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -14,10 +14,10 @@
 /// Share of a block's lease without a count from its holder after which it goes to
 /// another controller.
 const SILENT_SHARE: f64 = 0.25;
-/// Share of the value limit that a block's list of machines may fill.
-const LIST_SHARE: f64 = 0.7;
-/// JSON bytes of a machine in that list, generously.
-const ENTRY_BYTES: f64 = 80.0;
+/// Share of the value limit that a block's record may fill.
+const RECORD_SHARE: f64 = 0.85;
+/// JSON bytes of records in one commit, below the limit of 64 KiB.
+const COMMIT_BYTES: usize = 40 * 1024;
 /// Names of deleted machines are kept this long, in seconds.
 const GONE_S: f64 = 300.0;
 /// Longest list of empty or deleted machines in one message.
@@ -39,6 +39,8 @@
     gone: BTreeMap<MachineId, Time>,
     /// A change of leases is being committed.
     busy: bool,
+    /// There are machines that no block's record has room for.
+    crowded: bool,
     since: Time,
     /// This leadership's own number: no other one has it.
     pub(crate) number: Number,
@@ -258,13 +260,15 @@
         highest: Number,
     ) {
         let mut when = vec![(Key::Leader, self.cache.leader.version())];
-        let mut writes = Vec::new();
+        let (mut writes, mut bytes) = (Vec::new(), 0);
         let most = self.settings.platform.facts.state.txn_ops - 1;
         for (block, rec) in after {
             let old = before.get(&block);
-            if old.is_some_and(|(_, b)| *b == rec) || writes.len() >= most {
+            let full = writes.len() >= most || bytes >= COMMIT_BYTES;
+            if old.is_some_and(|(_, b)| *b == rec) || full {
                 continue;
             }
+            bytes += json_bytes(&rec);
             when.push((Key::Block(block), old.map_or(0, |(mark, _)| *mark)));
             writes.push(Write::put(Key::Block(block), Record::Block(rec)));
         }
@@ -339,7 +343,7 @@
     }
 
     /// One more block, once each of them has enough machines.
-    fn split(&self, recs: &mut BTreeMap<u32, BlockRec>, highest: &mut Number) {
+    fn split(&mut self, recs: &mut BTreeMap<u32, BlockRec>, highest: &mut Number) {
         let machines: u32 = self
             .believed()
             .iter()
@@ -348,7 +352,8 @@
             .sum();
         let controllers = 1 + self.lately().filter(|h| h.sighted).count();
         let by_size = self.settings.blocks_for(machines);
-        if recs.is_empty() || recs.len() >= by_size.min(controllers) {
+        let crowded = self.lead.as_ref().is_some_and(|l| l.crowded);
+        if recs.is_empty() || (recs.len() >= by_size.min(controllers) && !crowded) {
             return;
         }
         if let Some(first) = recs.get_mut(&0).filter(|b| b.machines.is_none()) {
@@ -356,8 +361,14 @@
             let Some(h) = self.parked.get(&0).filter(|h| h.number == first.number) else {
                 return;
             };
-            first.machines = Some(h.entries());
-            first.allowances = Some(self.whole_limits());
+            let mut listed = first.clone();
+            listed.machines = Some(h.entries());
+            listed.allowances = Some(self.whole_limits());
+            if json_bytes(&listed) > self.record_most() {
+                // It goes on as one block, which needs no list.
+                return;
+            }
+            *first = listed;
         }
         let load: BTreeMap<Member, usize> = recs.values().fold(BTreeMap::new(), |mut l, b| {
             *l.entry(b.holder.clone()).or_default() += 1;
@@ -377,6 +388,12 @@
         recs.insert(block, rec);
     }
 
+    /// Most bytes of a block's record.
+    fn record_most(&self) -> usize {
+        let kb = self.settings.platform.facts.state.value_kb;
+        (kb * 1024.0 * RECORD_SHARE) as usize
+    }
+
     /// Every team's whole limit.
     fn whole_limits(&self) -> BTreeMap<String, (f64, f64)> {
         let teams = self.settings.platform.facts.teams.iter();
@@ -389,8 +406,7 @@
     /// New machines go to the block that lacks them most; deleted ones leave the lists. A machine
     /// never changes its block: only the holder knows what is on it.
     fn assign_machines(&mut self, recs: &mut BTreeMap<u32, BlockRec>) {
-        let kb = self.settings.platform.facts.state.value_kb;
-        let most = (kb * 1024.0 * LIST_SHARE / ENTRY_BYTES) as usize;
+        let most = self.record_most();
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -401,17 +417,28 @@
         let lists = recs.values().filter_map(|b| b.machines.as_ref());
         let listed: BTreeSet<MachineId> = lists.flatten().map(|e| e.0.clone()).collect();
         lead.strays.retain(|id, _| !listed.contains(id));
+        lead.crowded = false;
+        let lists = recs.iter().filter(|(_, b)| b.machines.is_some());
+        let mut bytes: BTreeMap<u32, usize> = if lead.strays.is_empty() {
+            BTreeMap::new()
+        } else {
+            lists.map(|(k, b)| (*k, json_bytes(b))).collect()
+        };
         for entry in lead.strays.values() {
             let lists = recs.iter_mut();
             let lists = lists.filter_map(|(k, b)| Some((*k, b.machines.as_mut()?)));
-            let open = lists.filter(|(_, list)| list.len() < most);
+            // A new type or zone costs its own group in the list.
+            let size = 2 * entry.0.as_str().len() + entry.1.len() + entry.2.len() + 20;
+            let open = lists.filter(|(k, _)| bytes.get(k).is_some_and(|n| n + size < most));
             let key = |block: u32| (entry.1.clone(), entry.3, block);
             let lack = |block: u32| lead.needs.get(&key(block)).copied().unwrap_or(0);
             let best = open.max_by_key(|(k, list)| (lack(*k), std::cmp::Reverse(list.len())));
             let Some((block, list)) = best else {
+                lead.crowded = !bytes.is_empty();
                 return;
             };
             list.push(entry.clone());
+            *bytes.entry(block).or_default() += entry.0.as_str().len() + 1;
             if let Some(n) = lead.needs.get_mut(&key(block)) {
                 *n = n.saturating_sub(1);
             }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -83,7 +83,7 @@
     pub boot: u64,
     pub number: Number,
     /// The block's machines; `None` for all there are, while it is the only block.
-    #[serde(default)]
+    #[serde(default, with = "packed")]
     pub machines: Option<Vec<Entry>>,
     /// CPUs and GPUs that each team with a limit may use here; `None` for the whole
     /// limit, while this is the only block.
@@ -91,6 +91,62 @@
     pub allowances: Option<BTreeMap<String, (f64, f64)>>,
 }
 
+/// How a block's list of machines is written: by type, zone and kind, and of the names
+/// only what they don't share. Written one by one, a list outgrew its value at 71 machines.
+mod packed {
+    use super::{Entry, MachineId};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use std::collections::BTreeMap;
+
+    /// Type, zone, kind, what the names begin with, and the rest of each.
+    type Group = (String, String, bool, String, String);
+
+    /// Stands between the rests of names. A name that has one stands alone.
+    const GAP: char = ' ';
+
+    fn group(place: (&str, &str, bool), ids: &[&str]) -> Group {
+        let first = ids.first().copied().unwrap_or("");
+        let shared = |a: &str, b: &str| -> usize {
+            let same = a.chars().zip(b.chars()).take_while(|(x, y)| x == y);
+            same.map(|(c, _)| c.len_utf8()).sum()
+        };
+        let common = ids.iter().map(|id| shared(first, id)).min().unwrap_or(0);
+        let rests: Vec<&str> = ids.iter().map(|id| &id[common..]).collect();
+        let (class, zone, spot) = place;
+        let rests = rests.join(&GAP.to_string());
+        let begin = first[..common].to_string();
+        (class.into(), zone.into(), spot, begin, rests)
+    }
+
+    pub fn serialize<S: Serializer>(list: &Option<Vec<Entry>>, out: S) -> Result<S::Ok, S::Error> {
+        let groups = list.as_ref().map(|list| {
+            let mut places: BTreeMap<(&str, &str, bool), Vec<&str>> = BTreeMap::new();
+            let mut groups = Vec::new();
+            for (id, class, zone, spot) in list {
+                let place = (class.as_str(), zone.as_str(), *spot);
+                if id.as_str().contains(GAP) {
+                    groups.push(group(place, &[id.as_str()]));
+                } else {
+                    places.entry(place).or_default().push(id.as_str());
+                }
+            }
+            groups.extend(places.into_iter().map(|(place, ids)| group(place, &ids)));
+            groups
+        });
+        groups.serialize(out)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Vec<Entry>>, D::Error> {
+        let groups: Option<Vec<Group>> = Option::deserialize(from)?;
+        let entries = |(class, zone, spot, begin, rests): Group| {
+            let ids = rests.split(GAP).map(|rest| format!("{begin}{rest}"));
+            let entry = |id: String| (MachineId::from(&*id), class.clone(), zone.clone(), spot);
+            ids.map(entry).collect::<Vec<Entry>>()
+        };
+        Ok(groups.map(|all| all.into_iter().flat_map(entries).collect()))
+    }
+}
+
 impl BlockRec {
     /// Whether a machine belongs to this block.
     pub fn has(&self, machine: &MachineId) -> bool {
@@ -225,6 +281,11 @@
     pub placed: Vec<Placed>,
 }
 
+/// Bytes of a value as JSON, in which the limits on values are counted.
+pub fn json_bytes(value: &impl Serialize) -> usize {
+    serde_json::to_vec(value).map_or(0, |json| json.len() + 1)
+}
+
 /// How a job ended, for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -451,3 +451,36 @@
         );
     }
 }
+
+/// What is written of a block's machines is read again, whatever they are called, and
+/// 1,200 of them fit into a value.
+#[test]
+fn a_list_of_machines_is_packed() {
+    use salttrestle::core::records::{BlockRec, Entry};
+    use salttrestle::ids::Number;
+    let entry = |id: &str, zone: &str| -> Entry { (id.into(), "g8".into(), zone.into(), true) };
+    let rec = |machines| BlockRec {
+        holder: "n0".into(),
+        boot: 1,
+        number: Number(7),
+        machines,
+        allowances: None,
+    };
+    let odd = ["i-1", "i-12", "", "a b", "ärger", "änder", "i-1 2"];
+    let mut list: Vec<Entry> = odd.iter().map(|id| entry(id, "a")).collect();
+    list.push(entry("i-1", "b"));
+    for machines in [None, Some(Vec::new()), Some(list)] {
+        let json = serde_json::to_vec(&rec(machines.clone())).expect("JSON");
+        let back: BlockRec = serde_json::from_slice(&json).expect("a block's record");
+        let sorted = |m: Option<Vec<Entry>>| {
+            m.map(|mut m| {
+                m.sort();
+                m
+            })
+        };
+        assert_eq!(sorted(back.machines), sorted(machines));
+    }
+    let many = (0..1200).map(|n| entry(&format!("i-{n:06}"), ["a", "b", "c"][n % 3]));
+    let json = serde_json::to_vec(&rec(Some(many.collect()))).expect("JSON");
+    assert!(json.len() < 8 * 1024, "{} bytes", json.len());
+}
