Silent machines go after a late report and a failed try, not after most of a lease

What a worker can be late by is a report, a try of 4 s and a pause, whatever the lease is. Ruled out: waiting for the lease's own end, which takes 4 s longer still.

--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -31,6 +31,9 @@
 /// given up after so many leases.
 const FEW_SHARE: f64 = 0.15;
 const MASS_SILENT: f64 = 4.0;
+/// Machines that have been quiet for this share of the patience with silent ones are
+/// counted among these.
+const ALMOST: f64 = 0.95;
 /// Machines that may be sheltered are given up after so many.
 const SHELTERED_SILENT: f64 = 9.0;
 /// A zone is taken to be cut off when this share of its machines, and at least so
@@ -513,7 +516,7 @@
     /// they stay away for long.
     fn check_silent(&mut self) {
         let w = &self.settings.platform.facts.workers;
-        let (lease_s, silent_s) = (w.lease_s, w.lease_s * self.settings.tuning.silent);
+        let (lease_s, silent_s) = (w.lease_s, self.settings.silent_s());
         let (now, blind) = (self.now, self.blind());
         let cut_zones = self.find_cut_zones();
         let sheltered: BTreeSet<Rc<str>> = cut_zones
@@ -529,7 +532,7 @@
         for (id, m) in h.machines.iter().filter(|(_, m)| m.up.is_some()) {
             up += 1;
             let quiet = now.since(m.seen.max(h.since));
-            if m.held.is_none() && quiet > lease_s * 0.85 {
+            if m.held.is_none() && quiet > silent_s * ALMOST {
                 let provable = m.shown || m.tasks.is_empty();
                 let patience = if provable {
                     silent_s
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,6 +127,14 @@
 /// Processor time that a holder spends on one report, with all that follows from it, in
 /// seconds: as measured, rounded up.
 const REPORT_CPU_S: f64 = 75e-6;
+/// Reports come this much later than usual at most.
+const LATE_REPORT: f64 = 1.25;
+/// A worker waits so long for the answer to a report, and then before it tries another
+/// controller.
+const WORKER_WAITS_S: f64 = 4.0;
+const WORKER_PAUSE_S: f64 = 1.0;
+/// For the time that messages take, and late timers.
+const SILENT_MARGIN: f64 = 1.2;
 /// Sockets of each controller that aren't for workers.
 const OTHER_SOCKETS: usize = 100;
 
@@ -180,6 +188,14 @@
         f.resources.cpu * f.workers.report_s / REPORT_CPU_S
     }
 
+    /// How long a machine may be silent before it is deleted: a report that is late, one
+    /// that finds no answer, and the next try, or a share of the lease if that is longer.
+    pub fn silent_s(&self) -> f64 {
+        let w = &self.platform.facts.workers;
+        let tries = w.report_s * LATE_REPORT + WORKER_WAITS_S + WORKER_PAUSE_S;
+        (tries * SILENT_MARGIN).max(w.lease_s * self.tuning.silent)
+    }
+
     /// Into how many blocks a fleet is cut: no more than its holders' processors need,
     /// and none smaller than is worth it.
     pub fn blocks_for(&self, machines: u32) -> usize {
