--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -13,7 +13,8 @@
     pub rented: u64,
     /// When it comes up; `None` if it never does.
     pub boots: Option<u64>,
-    pub failed: bool,
+    /// From when on it is listed as failed: for a while a dead machine is listed as running.
+    pub failed: Option<u64>,
     pub gone: Option<u64>,
 }
 
@@ -46,7 +47,7 @@
             spot,
             rented: now,
             boots,
-            failed: false,
+            failed: None,
             gone: None,
         };
         self.rigs.insert(id.clone(), rig);
@@ -110,7 +111,7 @@
         });
         let machines = shown.map(|(id, r)| {
             let stance = match (r.failed, r.boots) {
-                (true, _) => "failed",
+                (Some(failed), _) if failed <= at => "failed",
                 (_, Some(b)) if b <= at => "running",
                 _ => "starting",
             };
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -858,7 +858,7 @@
         if flag(args, "die") {
             self.end_worker(id);
             if let Some(r) = self.cloud.rigs.get_mut(id) {
-                r.failed = true;
+                r.failed = Some(now + 30_000);
             }
             return;
         }
