A place on a machine that is being emptied costs less than a late start

Cause: machines with little work are closed to new starts at a price of 30, far above that of a start as late as its class allows (12). At hundreds of machines dozens are closed, with the images and the room that starts lack.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -20,7 +20,7 @@
 const SPREAD_COST: f64 = 4.0;
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
-const CLOSING_COST: f64 = 30.0;
+const CLOSING_COST: f64 = 10.0;
 /// Batch work leaves the room kept for urgent starts alone for this long, in which a
 /// spot machine should have come up. Where none is to be had it mustn't wait for ever.
 const KEPT_S: f64 = 90.0;
