--- a/src/peer.rs
+++ b/src/peer.rs
@@ -158,9 +158,9 @@
     pub provisioned: u32,
     /// Machines' worth of room that is free on machines in use.
     pub spare: f64,
-    /// Machines' worth of room to be kept free for urgent starts.
+    /// Machines' worth of room to be kept free for starts.
     pub keep: f64,
-    /// Whether services run here: room is kept for the next ones.
+    /// Whether room is kept: services run here or, on spot machines, batch work came.
     pub urgent: bool,
 }
 
