--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -685,10 +685,9 @@
         let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
         for class in 0..catalog.len() {
             for spot in [false, true] {
-                let keep = self.keep((class, spot), catalog, &settings.tuning, now);
+                let keep = self.keep((class, spot), catalog, settings.tuning.headroom, now);
                 let count = PoolCount {
                     keep,
-                    urgent: spot && keep > 0.0,
                     ..PoolCount::default()
                 };
                 counts.insert((class, spot), count);
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -5,7 +5,6 @@
 use super::autoscaler::{Pool, per_machine, pool_for};
 use super::fleet::{Fleet, Machine};
 use super::*;
-use crate::settings::Tuning;
 use log::{debug, info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -286,13 +285,9 @@
         Attempt::new(self.number, self.count)
     }
 
-    /// The pool for which a job is a sign of what comes, and its size there, in machines:
-    /// services for any, batch work for spot machines, which cost little to keep.
+    /// The pool of a service and its size there, in machines.
     fn size(&self, catalog: &[ClassInfo], closed: &[Closed], rec: &JobRec) -> Option<(Pool, f64)> {
-        let pool = pool_for(catalog, rec, closed)?;
-        if rec.form != Form::Service && !pool.1 {
-            return None;
-        }
+        let pool = pool_for(catalog, rec, closed).filter(|_| rec.form == Form::Service)?;
         let size = f64::from(rec.count) / per_machine(&catalog[pool.0], rec.need);
         Some((pool, size))
     }
@@ -317,22 +312,12 @@
         self.bursts = squares.into_iter().map(guess).collect();
     }
 
-    /// Machines' worth of room to keep free for starts: urgent ones or, on spot machines,
-    /// those of batch work.
-    pub(crate) fn keep(
-        &self,
-        pool: Pool,
-        catalog: &[ClassInfo],
-        tuning: &Tuning,
-        now: Time,
-    ) -> f64 {
+    /// Machines' worth of room to keep free for urgent starts.
+    pub(crate) fn keep(&self, pool: Pool, catalog: &[ClassInfo], headroom: f64, now: Time) -> f64 {
         let boot_s = catalog.get(pool.0).map_or(1.0, |c| c.ready_s.max(1.0));
         let bursts = self.bursts.get(&pool);
         let deviation = bursts.map_or(0.0, |b| b.deviation(now, boot_s));
-        match pool.1 {
-            true => tuning.headroom_spot * deviation,
-            false => (tuning.headroom * deviation).max(1.0),
-        }
+        (headroom * deviation).max(1.0)
     }
 
     /// Takes note of the image that a service comes with.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -3,7 +3,6 @@
 use super::fleet::Machine;
 use super::holder::{Live, Phase, Placement};
 use super::*;
-use crate::settings::Tuning;
 use log::debug;
 use std::cmp::Ordering;
 use std::collections::{BTreeSet, BinaryHeap};
@@ -73,7 +72,7 @@
         turns.sort();
         let mut round = Round {
             wares: ready_wares(h, &self.catalog, &self.settings, now),
-            full: full_pools(h, &self.catalog, &self.settings.tuning, now),
+            full: full_pools(h, &self.catalog, self.settings.tuning.headroom, now),
             left: ROUND_MAX,
             failed: Vec::new(),
             unyielding: Vec::new(),
@@ -225,7 +224,7 @@
         if self.blind() {
             return;
         }
-        let tuning = &self.settings.tuning;
+        let headroom = self.settings.tuning.headroom;
         let Some(h) = &mut self.holder else {
             return;
         };
@@ -237,7 +236,7 @@
         let pressed = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.rec.rank > Rank::Normal);
         let open = !h.cut && !h.waiting.iter().any(pressed);
         let spare = if open {
-            spare_machines(h, &self.catalog, tuning, now)
+            spare_machines(h, &self.catalog, headroom, now)
         } else {
             BTreeSet::new()
         };
@@ -287,7 +286,7 @@
 fn spare_machines(
     h: &Holder,
     catalog: &[ClassInfo],
-    tuning: &Tuning,
+    headroom: f64,
     now: Time,
 ) -> BTreeSet<MachineId> {
     let mut pools: BTreeMap<(usize, bool), Vec<(f64, &MachineId)>> = BTreeMap::new();
@@ -304,7 +303,7 @@
     let mut spare = BTreeSet::new();
     for (pool, mut machines) in pools {
         machines.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let keep = h.keep(pool, catalog, tuning, now);
+        let keep = h.keep(pool, catalog, headroom, now);
         let mut free: f64 = machines.iter().map(|(share, _)| 1.0 - share).sum();
         for (share, id) in machines {
             // Its own room goes, and its work needs room on the others.
@@ -367,8 +366,8 @@
 
 /// The types whose ordinary machines have no more room than is kept for urgent starts.
 /// Work that may use spot machines waits for one rather than take that room.
-fn full_pools(h: &Holder, catalog: &[ClassInfo], tuning: &Tuning, now: Time) -> Vec<usize> {
-    let full = |c: &usize| h.machines.free(*c, false) < h.keep((*c, false), catalog, tuning, now);
+fn full_pools(h: &Holder, catalog: &[ClassInfo], headroom: f64, now: Time) -> Vec<usize> {
+    let full = |c: &usize| h.machines.free(*c, false) < h.keep((*c, false), catalog, headroom, now);
     (0..catalog.len()).filter(full).collect()
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -158,9 +158,9 @@
     pub provisioned: u32,
     /// Machines' worth of room that is free on machines in use.
     pub spare: f64,
-    /// Machines' worth of room to be kept free for starts.
+    /// Machines' worth of room to be kept free for urgent starts.
     pub keep: f64,
-    /// Whether room is kept: services run here or, on spot machines, batch work came.
+    /// Whether services run here: room is kept for the next ones.
     pub urgent: bool,
 }
 
