--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -38,6 +38,8 @@
     /// A report showed that it has this block's number.
     pub shown: bool,
     pub seen: Time,
+    /// The sibling that handed on its latest report; `None` if it came here.
+    pub via: Option<Member>,
     /// When this process last answered one of its reports with 200.
     pub answered: Time,
     pub notice: Option<Time>,
@@ -82,6 +84,7 @@
             seq: 0,
             shown: false,
             seen: now,
+            via: None,
             answered: now,
             notice: None,
             tasks: BTreeMap::new(),
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -159,6 +159,8 @@
     pub(crate) cut_zones: BTreeSet<Rc<str>>,
     /// When there last was one.
     pub(crate) zones_cut_at: Option<Time>,
+    /// When each controller was last found to hear no worker, or not to be heard.
+    pub(crate) mute_at: BTreeMap<Option<Member>, Time>,
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
@@ -209,6 +211,7 @@
             whole: true,
             cut_zones: BTreeSet::new(),
             zones_cut_at: None,
+            mute_at: BTreeMap::new(),
             allowances: None,
             count: 0,
             jobs: BTreeMap::new(),
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -454,7 +454,7 @@
         if waits && !m.spot && round.full.contains(&m.class) {
             return None;
         }
-        Some(cost(self.expected, live, class, m) + regret(&round.wares, live, m))
+        Some(cost(self, live, class, m) + regret(&round.wares, live, m))
     }
 }
 
@@ -569,10 +569,16 @@
         && m.health.rested(now)
 }
 
-fn cost(expected: Option<f64>, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+fn cost(desk: &Desk, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
     let rec = &live.rec;
     let free_share = 1.0 - m.used.share_of(class.room);
-    let delay = delay_cost(expected, class, fetch_s(rec, class, m));
+    // A start goes with the answer to a report: at once, where one waits for it.
+    let report_s = desk.settings.platform.facts.workers.report_s;
+    let answer_s = match m.held {
+        Some(_) => 0.0,
+        None => (report_s - desk.now.since(m.seen)).max(0.0),
+    };
+    let delay = delay_cost(desk.expected, class, answer_s + fetch_s(rec, class, m));
     let mut cost = delay + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -30,7 +30,7 @@
 const LOST_S: f64 = 3.0;
 /// A report handed on is answered here when no answer came this long after the time
 /// for which the holder may hold it.
-const RELAY_GRACE_S: f64 = 1.0;
+const RELAY_GRACE_S: f64 = 0.9;
 /// Reports with more tasks don't fit into a message to a sibling; their workers go to
 /// the holder themselves.
 const RELAY_TASKS: usize = 200;
@@ -73,6 +73,13 @@
 /// Requests of guests are numbered apart from those that come on connections.
 const GUESTS: u64 = 1 << 62;
 
+impl Relays {
+    /// The sibling that handed on a report.
+    pub(crate) fn carrier(&self, req: ReqId) -> Option<Member> {
+        self.guests.get(&req).map(|g| g.from.clone())
+    }
+}
+
 impl Core {
     pub(crate) fn on_report(&mut self, req: ReqId, report: Report) {
         self.worker_heard = self.now;
@@ -222,8 +229,7 @@
                 self.without_holder(lost.req, lost.report, lost.since);
             }
         }
-        let w = &self.settings.platform.facts.workers;
-        let patience = self.settings.tuning.report_hold * w.report_s + RELAY_GRACE_S;
+        let patience = self.settings.hold_s(false) + RELAY_GRACE_S;
         let late = self.relays.out.iter().filter(|(_, r)| {
             self.now.since(r.since) > patience || !self.lively(&r.to) || !self.linked(&r.to)
         });
@@ -366,11 +372,16 @@
         })
     }
 
+    /// Whether a sibling is heard of, and hears workers.
+    pub(crate) fn hears(&self, member: &Member) -> bool {
+        let hello = self.siblings.get(member).map(|(h, _)| h);
+        self.linked(member) && hello.is_some_and(|h| h.heard)
+    }
+
     /// Whether a zone's controllers besides this one are all heard of, and hear workers.
     pub(crate) fn zone_heard(&self, zone: &str) -> bool {
         let mut local = self.siblings_in(zone).peekable();
-        let hears = |m: &Member| self.siblings.get(m).is_some_and(|(h, _)| h.heard);
-        local.peek().is_some() && local.all(|s| self.linked(&s.member) && hears(&s.member))
+        local.peek().is_some() && local.all(|s| self.hears(&s.member))
     }
 
     /// Whether a zone has a controller besides this one, which may shelter its workers.
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -75,7 +75,11 @@
         };
         let number = h.number;
         let proof = report.number == number.0;
-        let taken = h.machines.edit(id, |m| m.take_report(now, &report, proof));
+        let via = self.relays.carrier(req);
+        let taken = h.machines.edit(id, |m| {
+            m.via = via;
+            m.take_report(now, &report, proof)
+        });
         let Some(taken) = taken else {
             return;
         };
@@ -118,13 +122,18 @@
     /// Whether the answer may wait for a command. Only a quiet report waits, and
     /// less long than until the next one is due.
     fn hold_report(&mut self, id: &MachineId, req: ReqId) -> bool {
-        let hold = self.settings.tuning.report_hold * self.settings.platform.facts.workers.report_s;
-        let until = self.now.after(hold.min(2.0));
         let Some(h) = &mut self.holder else {
             return false;
         };
+        let Some(m) = h.machines.get(id) else {
+            return false;
+        };
+        // What ends meanwhile is heard of only when the worker is answered.
+        let ends = m.tasks.values().any(|s| s.rec.form == Form::Batch);
+        let hold = self.settings.hold_s(ends);
+        let until = self.now.after(hold);
         // A worker without our number yet gets it at once.
-        if hold <= 0.0 || !h.machines.get(id).is_some_and(|m| m.shown) {
+        if hold <= 0.0 || !m.shown {
             return false;
         }
         h.machines.edit(id, |m| m.held = Some((req, until)));
@@ -516,7 +525,8 @@
     /// they stay away for long.
     fn check_silent(&mut self) {
         let w = &self.settings.platform.facts.workers;
-        let (lease_s, silent_s) = (w.lease_s, self.settings.silent_s());
+        let (lease_s, silent_s) = (w.lease_s, self.settings.silent_s(false));
+        let (silent_mute_s, mute) = (self.settings.silent_s(true), self.mute());
         let (now, blind) = (self.now, self.blind());
         let cut_zones = self.find_cut_zones();
         let sheltered: BTreeSet<Rc<str>> = cut_zones
@@ -534,10 +544,10 @@
             let quiet = now.since(m.seen.max(h.since));
             if m.held.is_none() && quiet > silent_s * ALMOST {
                 let provable = m.shown || m.tasks.is_empty();
-                let patience = if provable {
-                    silent_s
-                } else {
-                    UNPROVABLE * lease_s
+                let patience = match (provable, mute.contains(&m.via)) {
+                    (true, false) => silent_s,
+                    (true, true) => silent_mute_s,
+                    (false, _) => UNPROVABLE * lease_s,
                 };
                 silent.push((id.clone(), quiet, patience, sheltered.contains(&m.zone)));
             }
@@ -571,6 +581,27 @@
         }
     }
 
+    /// Controllers, `None` for this one, that lately heard no worker or weren't heard
+    /// themselves. Workers that reported there look for another one, and may be sent back
+    /// once, which takes two tries of 5 s: they looked as if their machines were gone.
+    fn mute(&mut self) -> BTreeSet<Option<Member>> {
+        let now = self.now;
+        let lease_s = self.settings.platform.facts.workers.lease_s;
+        let mut mute = Vec::new();
+        if now.since(self.worker_heard) > HEARD_S {
+            mute.push(None);
+        }
+        let siblings = self.settings.platform.siblings.iter();
+        let deaf = siblings.filter(|s| !self.hears(&s.member));
+        mute.extend(deaf.map(|s| Some(s.member.clone())));
+        let Some(h) = &mut self.holder else {
+            return BTreeSet::new();
+        };
+        h.mute_at.extend(mute.into_iter().map(|m| (m, now)));
+        h.mute_at.retain(|_, at| now.since(*at) < lease_s);
+        h.mute_at.keys().cloned().collect()
+    }
+
     /// Zones of which so many machines have missed their reports that they must be cut
     /// off. Their own controllers keep them alive.
     fn find_cut_zones(&self) -> BTreeSet<Rc<str>> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -133,6 +133,10 @@
 /// controller.
 const WORKER_WAITS_S: f64 = 4.0;
 const WORKER_PAUSE_S: f64 = 1.0;
+/// Shares of that wait for which an answer is held at most: where tasks may end, and
+/// elsewhere.
+const HOLD_ENDS: f64 = 0.5;
+const HOLD_MOST: f64 = 0.65;
 /// For the time that messages take, and late timers.
 const SILENT_MARGIN: f64 = 1.2;
 /// Sockets of each controller that aren't for workers.
@@ -188,12 +192,26 @@
         f.resources.cpu * f.workers.report_s / REPORT_CPU_S
     }
 
-    /// How long a machine may be silent before it is deleted: a report that is late, one
-    /// that finds no answer, and the next try, or a share of the lease if that is longer.
-    pub fn silent_s(&self) -> f64 {
+    /// How long the answer to a quiet report may wait for a command, so that the worker
+    /// still gets it in time; less where tasks may end meanwhile, whose users expect to
+    /// hear of it within 3 s.
+    pub fn hold_s(&self, ends: bool) -> f64 {
+        let most = if ends { HOLD_ENDS } else { HOLD_MOST };
+        let hold = self.tuning.report_hold * self.platform.facts.workers.report_s;
+        hold.min(WORKER_WAITS_S * most)
+    }
+
+    /// How long a machine may be silent before it is deleted: a share of the lease or, where
+    /// the controller that it reported to is well, a report that is late, one that finds no
+    /// answer, and the next try.
+    pub fn silent_s(&self, mute: bool) -> f64 {
         let w = &self.platform.facts.workers;
+        let of_lease = w.lease_s * self.tuning.silent;
         let tries = w.report_s * LATE_REPORT + WORKER_WAITS_S + WORKER_PAUSE_S;
-        (tries * SILENT_MARGIN).max(w.lease_s * self.tuning.silent)
+        match mute {
+            true => of_lease,
+            false => of_lease.min(tries * SILENT_MARGIN),
+        }
     }
 
     /// Into how many blocks a fleet is cut: no more than its holders' processors need,
