--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -20,8 +20,6 @@
 const SPREAD_COST: f64 = 4.0;
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
-/// For a machine on which a task costs twice as much as on the cheapest type.
-const TYPE_COST: f64 = 6.0;
 const CLOSING_COST: f64 = 10.0;
 /// Batch work leaves the room kept for urgent starts alone for this long, in which a
 /// spot machine should have come up. Where none is to be had it mustn't wait for ever.
@@ -123,7 +121,6 @@
                 settings: &self.settings,
                 catalog: &self.catalog,
                 expected: expected_s(&self.settings, &rec.class),
-                cheapest: [false, true].map(|spot| cheapest(&rec, &self.catalog, spot)),
                 now,
             };
             let offers = offers.get_or_insert_with(|| {
@@ -417,8 +414,6 @@
     catalog: &'a [ClassInfo],
     /// Within which time they are expected to start.
     expected: Option<f64>,
-    /// What a task costs on the cheapest type that it may use, ordinary and spot.
-    cheapest: [f64; 2],
     now: Time,
 }
 
@@ -584,8 +579,7 @@
         None => (report_s - desk.now.since(m.seen)).max(0.0),
     };
     let delay = delay_cost(desk.expected, class, answer_s + fetch_s(rec, class, m));
-    let dearer = price(rec, class, m.spot) / desk.cheapest[usize::from(m.spot)] - 1.0;
-    let mut cost = delay + FREE_COST * free_share + TYPE_COST * dearer;
+    let mut cost = delay + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
         let seats = m.tasks.values();
@@ -601,20 +595,6 @@
     cost
 }
 
-/// What a task's share of a machine costs.
-fn price(rec: &JobRec, class: &ClassInfo, spot: bool) -> f64 {
-    let price = if spot { class.spot_price } else { class.price };
-    price * rec.need.share_of(class.room)
-}
-
-fn cheapest(rec: &JobRec, catalog: &[ClassInfo], spot: bool) -> f64 {
-    let types = (0..catalog.len()).filter(|c| suits(rec, catalog, *c, spot));
-    let fitting = types.filter(|c| catalog[*c].room.holds(rec.need));
-    let prices = fitting.map(|c| price(rec, &catalog[c], spot));
-    // Where nothing has a price, none is dearer than another.
-    prices.fold(f64::MAX, f64::min).max(f64::MIN_POSITIVE)
-}
-
 /// Within which time the tasks of a class of jobs are expected to start, if that is said.
 fn expected_s(settings: &Settings, of: &str) -> Option<f64> {
     let wanted = settings.platform.facts.objectives.iter();
