--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -74,9 +74,6 @@
 const LISTED_LAGS: f64 = 3.0;
 /// Jobs that failed this often in a row don't make the fleet grow.
 const HOPELESS: u32 = 6;
-/// Share of the room that batch work frees in a boot which is counted on: what waits for it
-/// waits longer.
-const RELIEF_SHARE: f64 = 0.5;
 /// Share of the value limit that the plan may fill.
 const PLAN_SHARE: f64 = 0.9;
 /// A machine this much free counts as room kept for urgent starts.
@@ -702,7 +699,6 @@
             let silent = m.up.is_some() && m.held.is_none() && quiet && !cut;
             self.count_machine(catalog, m, silent, &mut counts);
         }
-        let mut relief = self.relief(catalog);
         let mut team_left = HashMap::new();
         for id in &self.waiting {
             let Some(live) = self.jobs.get(id) else {
@@ -713,29 +709,11 @@
                 continue;
             }
             let tasks = self.within_team(settings, live.queued(), &live.rec, &mut team_left);
-            count_queued(catalog, &live.rec, closed, tasks, &mut counts, &mut relief);
+            count_queued(catalog, &live.rec, closed, tasks, &mut counts);
         }
         counts
     }
 
-    /// Machines' worth of room, by type, that work which may use spot machines frees while
-    /// a machine of the type boots. What waits for spot machines that aren't to be had goes
-    /// there: a burst rented every ordinary machine, at three to four times the price, and
-    /// most came up when the queue was gone.
-    fn relief(&self, catalog: &[ClassInfo]) -> Vec<f64> {
-        let mut relief = vec![0.0; catalog.len()];
-        let seats = self.machines.values().flat_map(|m| m.tasks.values());
-        for rec in seats.map(|s| &s.rec) {
-            if rec.spot && rec.form == Form::Batch && rec.estimate_s > 0.0 {
-                for (class, worth) in catalog.iter().zip(&mut relief) {
-                    let ends = (class.ready_s / rec.estimate_s).min(1.0);
-                    *worth += RELIEF_SHARE * ends * rec.need.share_of(class.room);
-                }
-            }
-        }
-        relief
-    }
-
     /// Machines lacking in particular zones: for tasks that may not go elsewhere, by
     /// their job's zone, by its other tasks' zone, or because the other zones hold as
     /// many of its tasks as they may.
@@ -860,7 +838,6 @@
     closed: &[Closed],
     tasks: u32,
     counts: &mut BTreeMap<Pool, PoolCount>,
-    relief: &mut [f64],
 ) {
     let mut left = f64::from(tasks);
     let last = pool_for(catalog, rec, closed);
@@ -875,13 +852,7 @@
         } else {
             left.min((coming.max(0.0) * per).floor())
         };
-        let mut machines = here / per;
-        if rec.spot && !pool.1 {
-            let relieved = relief[pool.0].min(machines);
-            relief[pool.0] -= relieved;
-            machines -= relieved;
-        }
-        c.queued += machines;
+        c.queued += here / per;
         c.urgent |= here > 0.0 && rec.form == Form::Service;
         left -= here;
         if Some(pool) == last {
