--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -24,7 +24,6 @@
 /// Batch work leaves the room kept for urgent starts alone for this long, in which a
 /// spot machine should have come up. Where none is to be had it mustn't wait for ever.
 const KEPT_S: f64 = 90.0;
-const KEPT_SURE_S: f64 = 10.0;
 /// How long room made by stopping others is waited for before more is made.
 const PREEMPT_S: f64 = 6.0;
 /// A machine used no more than this may be emptied, if its replicas have run for a
@@ -106,9 +105,6 @@
         if round.failed.iter().any(|f| same_demand(f, &rec)) {
             return true;
         }
-        let sure = h.jobs.get(id);
-        let sure = sure.is_some_and(|live| within_guarantee(h, &self.settings, live));
-        let kept_s = if sure { KEPT_SURE_S } else { KEPT_S };
         let mut offers = None;
         while round.left > 0 {
             if !within_limit(h, &self.settings, &rec) {
@@ -125,7 +121,6 @@
                 settings: &self.settings,
                 catalog: &self.catalog,
                 expected: expected_s(&self.settings, &rec.class),
-                kept_s,
                 now,
             };
             let offers = offers.get_or_insert_with(|| {
@@ -419,8 +414,6 @@
     catalog: &'a [ClassInfo],
     /// Within which time they are expected to start.
     expected: Option<f64>,
-    /// How long batch work leaves the room kept for urgent starts alone.
-    kept_s: f64,
     now: Time,
 }
 
@@ -455,7 +448,7 @@
         if !m.free().holds(live.rec.need) || !usable(m, self.settings, self.now) {
             return None;
         }
-        let young = self.now.since(live.since) < self.kept_s;
+        let young = self.now.since(live.since) < KEPT_S;
         let loses = live.rec.checkpoint_s <= 0.0;
         let waits = young && loses && live.rec.spot && live.rec.rank <= Rank::Normal;
         if waits && !m.spot && round.full.contains(&m.class) {
