--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -18,6 +18,8 @@
 /// first of them.
 const DELAY_COST: f64 = 12.0;
 const SPREAD_COST: f64 = 4.0;
+/// Services of up to so many tasks are spread as far as they can be.
+const SPREAD_SIZE: f64 = 8.0;
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
 const CLOSING_COST: f64 = 10.0;
@@ -584,7 +586,10 @@
         // One machine's loss shall cost a job as little as can be.
         let seats = m.tasks.values();
         let same = seats.filter(|s| Rc::ptr_eq(&s.rec, rec)).count();
-        cost += SPREAD_COST * same as f64;
+        // Of a large one it costs little anyway: weighed in full, its replicas went back to
+        // the machines that were being emptied of them, again and again.
+        let part = (SPREAD_SIZE / f64::from(rec.count.max(1))).min(1.0);
+        cost += SPREAD_COST * part * same as f64;
     }
     if m.spot {
         cost -= SPOT_GAIN;
