A leader extends the grant that its record names

A controller that had won stood again before its follow showed that; the second attempt lost, but its grant took the place of the one on which the leader's key hangs, and that one ran out. Now the record names its grant, and nobody stands again before the follow has come to the revision at which it won.

--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -4,11 +4,17 @@
 
 use super::*;
 use log::{info, warn};
+use std::collections::VecDeque;
 
 #[derive(Debug, Default)]
 pub(crate) struct Election {
-    /// A grant got for standing, or the one the leader's key hangs on.
+    /// The grant that the leader's key hangs on, while this controller leads.
     hold: Option<u64>,
+    /// Grants got for standing, the latest last, and when they were asked for.
+    grants: VecDeque<(u64, Time)>,
+    /// The revision at which this controller won. Until the follow shows it, standing
+    /// again would only lose to itself.
+    won: u64,
     /// When the latest request that renewed the grant was sent.
     renewed: Time,
     busy: bool,
@@ -23,6 +29,8 @@
 const STAND_GAP_S: f64 = 0.1;
 /// Share of a grant's life after which it is renewed.
 const RENEW: f64 = 0.3;
+/// Grants remembered: attempts that may still turn out to have won.
+const GRANTS_MAX: usize = 8;
 /// Rest after giving up leadership, in lives of a grant.
 const REST: f64 = 4.0;
 
@@ -79,7 +87,7 @@
             self.election.vacant = None;
             return;
         }
-        if self.now < self.election.rest_until {
+        if self.now < self.election.rest_until || self.cache.ledger < self.election.won {
             return;
         }
         let vacant = *self.election.vacant.get_or_insert(self.now);
@@ -100,8 +108,10 @@
         let StateReply::Granted(hold) = reply else {
             return;
         };
-        self.election.hold = Some(hold);
-        self.election.renewed = sent;
+        self.election.grants.push_back((hold, sent));
+        if self.election.grants.len() > GRANTS_MAX {
+            self.election.grants.pop_front();
+        }
         // The leadership's own number comes first: rentals are named after it.
         let number = Number(self.cache.highest().0 + 1);
         let mut highest = number;
@@ -122,6 +132,7 @@
             member: self.settings.platform.member.clone(),
             boot: self.boot,
             number,
+            hold,
         };
         writes.push(Write::Put {
             key: Key::Leader,
@@ -140,9 +151,24 @@
 
     /// Whatever the answer is, only the follow makes a leader: by then everything
     /// that the one before committed is known here as well.
-    pub(crate) fn on_elected(&mut self, _reply: StateReply) {
+    pub(crate) fn on_elected(&mut self, reply: StateReply) {
         self.election.busy = false;
         self.election.vacant = None;
+        if let StateReply::Committed { ledger } = reply {
+            self.election.won = ledger;
+        }
+    }
+
+    /// Takes the grant that the leader's record names. A later attempt's grant stood in its
+    /// place: the one that counted ran out unrenewed, and with it the leadership, after 3 s.
+    fn take_grant(&mut self) {
+        let rec = self.cache.leader.rec.as_ref();
+        let named = rec.map_or(0, |l| l.hold);
+        let mut grants = self.election.grants.drain(..);
+        let found = grants.find(|(hold, _)| *hold == named);
+        drop(grants);
+        self.election.hold = found.map(|(hold, _)| hold);
+        self.election.renewed = found.map_or(Time(0), |(_, sent)| sent);
     }
 
     /// The leader's, a block's, the number's or the plan's record changed.
@@ -154,6 +180,7 @@
         if leads && self.lead.is_none() && rested {
             info!("leads from now on");
             self.election.extend_at = self.now;
+            self.take_grant();
             self.start_leading();
         } else if !leads && self.lead.is_some() {
             self.stop_leading("its key is gone");
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -64,6 +64,9 @@
     pub member: Member,
     pub boot: u64,
     pub number: Number,
+    /// The grant that the record hangs on.
+    #[serde(default)]
+    pub hold: u64,
 }
 
 /// The highest number ever given.
