--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -107,6 +107,12 @@
         if round.failed.iter().any(|f| same_demand(f, &rec)) {
             return true;
         }
+        let desk = Desk {
+            settings: &self.settings,
+            catalog: &self.catalog,
+            expected: expected_s(&self.settings, &rec.class),
+            now,
+        };
         let mut offers = None;
         while round.left > 0 {
             if !within_limit(h, &self.settings, &rec) {
@@ -119,12 +125,6 @@
                 return false;
             };
             let live = &h.jobs[id];
-            let desk = Desk {
-                settings: &self.settings,
-                catalog: &self.catalog,
-                expected: expected_s(&self.settings, &rec.class),
-                now,
-            };
             let offers = offers.get_or_insert_with(|| {
                 let (offers, looked) = desk.offers(h, live, round);
                 self.looked += looked;
