--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -146,7 +146,7 @@
         self.catalog = classes;
         let catalog = &self.catalog;
         for h in self.parked.values_mut() {
-            h.machines.edit_all(|_, m| m.find_class(catalog));
+            h.machines.edit_all(|m| m.find_class(catalog));
             h.place_wanted = true;
         }
     }
@@ -884,8 +884,7 @@
 fn pools_for(catalog: &[ClassInfo], rec: &JobRec) -> Vec<Pool> {
     let mut pools: Vec<Pool> = Vec::new();
     for (class, info) in catalog.iter().enumerate() {
-        let named = rec.types.as_ref().is_none_or(|t| t.contains(&info.name));
-        if named && info.room.holds(rec.need) {
+        if rec.allows(&info.name) && info.room.holds(rec.need) {
             pools.push((class, false));
             if rec.spot {
                 pools.push((class, true));
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -261,6 +261,11 @@
             return;
         }
         self.unfile(id, m);
+        self.enter(id, &new);
+        m.filed = Some(new);
+    }
+
+    fn enter(&mut self, id: &MachineId, new: &Filed) {
         if let Some((shelf, free, lowest)) = &new.open {
             *self.free.entry((shelf.class, shelf.spot)).or_default() += free;
             if let Some(rank) = lowest {
@@ -276,7 +281,6 @@
         if new.unborn {
             self.unborn.insert(id.clone());
         }
-        m.filed = Some(new);
     }
 
     fn unfile(&mut self, id: &MachineId, m: &mut Machine) {
@@ -319,14 +323,10 @@
         self.all.contains_key(id)
     }
 
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.all.len()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
-
     pub fn iter(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
         self.all.iter()
     }
@@ -359,9 +359,9 @@
         Some(result)
     }
 
-    pub(crate) fn edit_all(&mut self, mut change: impl FnMut(&MachineId, &mut Machine)) {
+    pub(crate) fn edit_all(&mut self, mut change: impl FnMut(&mut Machine)) {
         for (id, machine) in &mut self.all {
-            change(id, machine);
+            change(machine);
             self.index.file(id, machine);
         }
     }
@@ -423,20 +423,7 @@
             if m.filed.as_ref() != Some(&filed) {
                 return Err(format!("machine {id} isn't filed as it is: {filed:?}"));
             }
-            if let Some((shelf, free, lowest)) = filed.open {
-                *again.free.entry((shelf.class, shelf.spot)).or_default() += free;
-                if let Some(rank) = lowest {
-                    let key = (shelf.class, shelf.spot, rank);
-                    again.ranked.entry(key).or_default().insert(id.clone());
-                }
-                again.shelves.entry(shelf).or_default().insert(id.clone());
-            }
-            if filed.leaving {
-                again.leaving.insert(id.clone());
-            }
-            if filed.unborn {
-                again.unborn.insert(id.clone());
-            }
+            again.enter(id, &filed);
         }
         again.free.retain(|_, n| *n > 0);
         let mut free = self.index.free.clone();
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -155,9 +155,8 @@
             return Some("unknown team".into());
         };
         let fits = self.catalog.iter().any(|c| {
-            let named = rec.types.as_ref().is_none_or(|t| t.contains(&c.name));
             let zoned = rec.zone.as_ref().is_none_or(|z| c.zones.contains(z));
-            named && zoned && c.room.holds(rec.need)
+            rec.allows(&c.name) && zoned && c.room.holds(rec.need)
         });
         if !fits {
             return Some("a task fits no allowed machine type".into());
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -535,8 +535,7 @@
 
 /// Whether a job's tasks may run on a type and kind of machine.
 fn suits(rec: &JobRec, catalog: &[ClassInfo], class: usize, spot: bool) -> bool {
-    let named = |c: &ClassInfo| rec.types.as_ref().is_none_or(|t| t.contains(&c.name));
-    (rec.spot || !spot) && catalog.get(class).is_some_and(named)
+    (rec.spot || !spot) && catalog.get(class).is_some_and(|c| rec.allows(&c.name))
 }
 
 /// Whether a zone may take this job's next task.
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -274,6 +274,14 @@
     pub withdrawn: bool,
 }
 
+impl JobRec {
+    /// Whether its tasks may run on a type of machine.
+    pub fn allows(&self, class: &str) -> bool {
+        let types = self.types.as_ref();
+        types.is_none_or(|types| types.iter().any(|t| t == class))
+    }
+}
+
 /// One placed task: its index, attempt, machine, and that machine's zone.
 pub type Placed = (u32, Attempt, MachineId, String);
 
--- a/src/net.rs
+++ b/src/net.rs
@@ -637,10 +637,9 @@
 
     fn request(&mut self, key: usize, message: &Message) {
         let path = message.start[1].split('?').next().unwrap_or("");
-        let ask = route(&message.start[0], path, &message.body);
+        let mut ask = route(&message.start[0], path, &message.body);
         let mut close = message.close;
         let full = self.workers as f64 >= self.room() as f64 * WORKER_SHARE;
-        let mut ask = ask;
         if let Some(Conn {
             role: Role::Server {
                 close: c, worker, ..
