--- a/src/net.rs
+++ b/src/net.rs
@@ -27,6 +27,8 @@
 /// Share of the other sockets that workers may use: users and health checks get through
 /// however many machines there are. Users' connections give way to workers' below that.
 const WORKER_SHARE: f64 = 0.75;
+/// When a worker that was refused for want of sockets had better come back, in seconds.
+const REFUSED_RETRY_S: u32 = 1;
 /// Open files that aren't connections: listeners, the poller's, the standard streams.
 const OTHER_FILES: usize = 16;
 const STATE_CONNS: usize = 12;
@@ -671,7 +673,8 @@
                 self.inputs.push_back(Input::Ask(req, ask));
             }
             Err((status, why)) => {
-                let bytes = http::response(status, None, close, &wire::error_body(why));
+                let later = (status == 503).then_some(REFUSED_RETRY_S);
+                let bytes = http::response(status, later, close, &wire::error_body(why));
                 if !self.send(key, &bytes) {
                     self.close(key);
                 }
