Failures are blamed on whom they speak against, also by the next leader

Cause: a machine was given up after three jobs had failed on it, whatever these did elsewhere, and each job's first two machines were blamed before it was known to be flawed; a new holder knew of no failure and began anew; each try was made with all the job's tasks.

Ruled out: the faulty machine as the source of the other failures (they are of flawed jobs).

Done: `failures` replaces `health`: a machine is faulty once jobs that failed there have run well elsewhere (two, or one of three that failed); what flawed jobs did counts against nobody; a job that failed twice is tried with one task at a time, on machines where it hasn't failed. Tries and machines stand in the chunk's record, written with the placements as before: no further commit. The record's old bytes are still read (stored_forms, which fixes the bytes of all records and messages).

--- a/src/core/autoscaler.rs
+++ b/src/core/autoscaler.rs
@@ -72,8 +72,6 @@
 const TALLY_SHARE: f64 = 0.2;
 /// A machine is surely listed after this many list lags.
 const LISTED_LAGS: f64 = 3.0;
-/// Jobs that failed this often in a row don't make the fleet grow.
-const HOPELESS: u32 = 6;
 /// A boot of a type that isn't in the catalogue.
 const UNKNOWN_BOOT_S: f64 = 60.0;
 /// After how many times the time in which it is overdue a machine never comes up.
@@ -676,6 +674,7 @@
             self.releases.remove(&(until, id.clone()));
         }
         self.machines.remove(id);
+        self.failures.forget_machine(id);
         self.gone.insert(id.clone(), now);
         self.place_wanted = true;
         held.map(|(req, _)| req)
@@ -715,8 +714,7 @@
             let Some(live) = self.jobs.get(id) else {
                 continue;
             };
-            let hopeless = live.fails >= HOPELESS;
-            if hopeless || !within_limit(self, settings, &live.rec) {
+            if self.failures.hopeless(id) || !within_limit(self, settings, &live.rec) {
                 continue;
             }
             let tasks = self.within_team(settings, live.queued(), &live.rec, &mut team_left);
@@ -736,14 +734,16 @@
                 *ahead.entry(((m.class, m.spot), &*m.zone)).or_default() += 1;
             }
         }
-        for live in self.waiting.iter().filter_map(|id| self.jobs.get(id)) {
+        let waiting = self.waiting.iter();
+        let waiting = waiting.filter(|id| !self.failures.hopeless(id));
+        for live in waiting.filter_map(|id| self.jobs.get(id)) {
             let Some(pool) = pool_for(catalog, &live.rec, closed) else {
                 continue;
             };
             let class = &catalog[pool.0];
             let zones = class.zones.iter().filter(|z| zone_allowed(live, z));
             let zones: Vec<&String> = zones.collect();
-            if zones.is_empty() || zones.len() == class.zones.len() || live.fails >= HOPELESS {
+            if zones.is_empty() || zones.len() == class.zones.len() {
                 continue;
             }
             let per = per_machine(class, live.rec.need);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -6,7 +6,6 @@
 //! knows what its tasks mean for a placement. Every change goes through `edit`, which
 //! files the machine anew: there is no second place that could forget to.
 
-use super::health::Health;
 use super::*;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -55,7 +54,6 @@
     pub held: Option<(ReqId, Time)>,
     /// Images it should have, latest use last.
     pub images: Vec<(Image, f64)>,
-    pub health: Health,
     /// Since when it has had no task.
     pub empty: Option<Time>,
     /// Its work would fit elsewhere: it gets nothing new while there is another place.
@@ -96,7 +94,6 @@
             deleting: false,
             held: None,
             images: Vec::new(),
-            health: Health::default(),
             empty: Some(now),
             closing: false,
             full_until: Time(0),
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -3,6 +3,7 @@
 //! are unchanged, before its start is sent to anyone.
 
 use super::autoscaler::{Pool, per_machine, pool_for};
+use super::failures::FailureLog;
 use super::fleet::{Fleet, Machine};
 use super::*;
 use log::{debug, info, warn};
@@ -36,6 +37,8 @@
     /// When it was first told to stop, if it was.
     pub halted: Option<Time>,
     pub sends: u32,
+    /// It has run for so long that neither its job nor its machine can be at fault.
+    pub runs_well: bool,
 }
 
 /// A job of the block.
@@ -55,9 +58,8 @@
     pub chunks: BTreeMap<u32, Chunk>,
     pub finishing: bool,
     pub not_before: Time,
-    pub fails: u32,
-    /// Machines on which its tasks failed lately.
-    pub failed_on: BTreeSet<MachineId>,
+    /// Starts that machines refused for not knowing the job.
+    pub unknown_starts: u32,
     /// Room is being made by stopping others until then.
     pub preempting: Time,
 }
@@ -218,6 +220,8 @@
     pub(crate) teams: HashMap<String, Room>,
     /// How services' demand for each pool comes.
     pub(crate) bursts: BTreeMap<Pool, Bursts>,
+    /// What failed, and whom it speaks against.
+    pub(crate) failures: FailureLog,
     /// How long machines of each type have taken to boot lately.
     pub(crate) boots: BTreeMap<usize, f64>,
     /// Images of services.
@@ -267,6 +271,7 @@
             machines: Fleet::default(),
             teams: HashMap::new(),
             bursts: BTreeMap::new(),
+            failures: FailureLog::default(),
             boots: BTreeMap::new(),
             wares: HashMap::new(),
             waiting: BTreeSet::new(),
@@ -481,7 +486,6 @@
             _ => return self.take(now, task),
         }
         live.done_count += 1;
-        live.fails = 0;
         let chunk = task.index / live.rec.chunk.max(1);
         live.chunks.entry(chunk).or_default().unwritten = true;
         let all = live.done_count == live.rec.count;
@@ -526,10 +530,15 @@
     }
 
     /// The present content of a chunk's record.
-    fn run_rec(&self, live: &Live, chunk: u32) -> RunRec {
+    fn run_rec(&self, job: &JobId, live: &Live, chunk: u32) -> RunRec {
         let size = live.rec.chunk.max(1);
         let (from, to) = (chunk * size, ((chunk + 1) * size).min(live.rec.count));
-        let mut rec = RunRec::default();
+        let (failed_tries, failed_on) = self.failures.of_job(job);
+        let mut rec = RunRec {
+            failed_tries,
+            failed_on,
+            ..RunRec::default()
+        };
         for index in from..to {
             if live.done[index as usize] {
                 match rec.done.last_mut() {
@@ -562,8 +571,7 @@
             chunks: BTreeMap::new(),
             finishing: false,
             not_before: now,
-            fails: 0,
-            failed_on: BTreeSet::new(),
+            unknown_starts: 0,
             preempting: now,
         }
     }
@@ -572,6 +580,11 @@
         !self.done[index as usize] && !self.placed.contains_key(&index)
     }
 
+    /// Whether one of its tasks has been started and may yet fail.
+    pub(crate) fn trying(&self) -> bool {
+        self.placed.values().any(|p| !p.runs_well)
+    }
+
     /// How many tasks wait for a machine.
     pub(crate) fn queued(&self) -> u32 {
         if self.withdrawn.is_some() {
@@ -648,6 +661,8 @@
                 }
             }
             doubts.extend(run.placed.iter().cloned());
+            h.failures
+                .restore(now, id, run.failed_tries, &run.failed_on);
         }
         let withdrawn = live.withdrawn.is_some();
         let closed = self.cache.closed();
@@ -670,6 +685,8 @@
                 since: now,
                 halted: None,
                 sends: 0,
+                // An earlier holder has seen it start: that it runs is no news of its machine.
+                runs_well: true,
             };
             h.put(id, index, placement);
         }
@@ -710,6 +727,7 @@
             h.take(now, &TaskId { job, index });
         }
         h.jobs.remove(id);
+        h.failures.forget_job(id);
         h.waiting.remove(id);
         h.to_finish.remove(id);
         h.to_flush.retain(|(_, job, _)| job != id);
@@ -1087,7 +1105,7 @@
             continue;
         }
         let mark = live.chunks.get(chunk).map_or(0, |c| c.mark);
-        let rec = h.run_rec(live, *chunk);
+        let rec = h.run_rec(job, live, *chunk);
         bytes += 60 * rec.placed.len() + 12 * rec.done.len();
         when.push((Key::Job(job.clone()), live.mark));
         when.push((Key::Run(job.clone(), *chunk), mark));
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -1,5 +1,6 @@
 //! Where tasks go: as soon as they come, wherever the block has room for them.
 
+use super::failures::FailureLog;
 use super::fleet::Machine;
 use super::holder::{Live, Phase, Placement, WriteUrgency};
 use super::*;
@@ -23,6 +24,8 @@
 const FREE_COST: f64 = 3.0;
 const SPOT_GAIN: f64 = 8.0;
 const CLOSING_COST: f64 = 10.0;
+/// A job that failed on a machine is tried elsewhere: that tells which of them is at fault.
+const FAILED_COST: f64 = 30.0;
 /// Batch work leaves the room kept for urgent starts alone for this long, in which a
 /// spot machine should have come up. Where none is to be had it mustn't wait for ever.
 const KEPT_S: f64 = 90.0;
@@ -125,8 +128,12 @@
                 return false;
             };
             let live = &h.jobs[id];
+            // All tasks of a flawed job at once took room on every machine at each try.
+            if h.failures.on_probation(id) && live.trying() {
+                return false;
+            }
             let offers = offers.get_or_insert_with(|| {
-                let (offers, looked) = desk.offers(h, live, round);
+                let (offers, looked) = desk.offers(h, id, round);
                 self.looked += looked;
                 offers
             });
@@ -154,6 +161,7 @@
                 since: now,
                 halted: None,
                 sends: 0,
+                runs_well: false,
             };
             h.put(id, index, placement);
             let chunk = index / rec.chunk.max(1);
@@ -164,7 +172,7 @@
             let cost = h
                 .machines
                 .get(&machine)
-                .and_then(|m| desk.cost_of(live, m, round));
+                .and_then(|m| desk.cost_of(&h.failures, live, (&machine, m), round));
             offers.extend(cost.map(|cost| Offer { cost, machine }));
         }
         false
@@ -355,6 +363,7 @@
                 && free.holds(live.rec.need)
                 && m.has_image(&live.rec.image)
                 && usable(m, settings, now)
+                && h.failures.rested(id, now)
                 && zoned;
             let left = free.share_of(m.room);
             if good && best.is_none_or(|(least, _)| left < least) {
@@ -423,7 +432,8 @@
 impl Desk<'_> {
     /// What every machine with room for the job's next task costs, and how many were
     /// looked at.
-    fn offers(&self, h: &Holder, live: &Live, round: &Round) -> (BinaryHeap<Offer>, u64) {
+    fn offers(&self, h: &Holder, job: &JobId, round: &Round) -> (BinaryHeap<Offer>, u64) {
+        let live = &h.jobs[job];
         let rec = &live.rec;
         let zones = self.catalog.iter().flat_map(|c| &c.zones);
         let zones: BTreeSet<&str> = zones.map(String::as_str).collect();
@@ -438,7 +448,11 @@
         let machines = h.machines.roomy(rec.need, fits);
         let offers = machines.filter_map(|(id, m)| {
             looked += 1;
-            let (cost, machine) = (self.cost_of(live, m, round)?, id.clone());
+            let mut cost = self.cost_of(&h.failures, live, (id, m), round)?;
+            if h.failures.failed_on(job, id) {
+                cost += FAILED_COST;
+            }
+            let machine = id.clone();
             Some(Offer { cost, machine })
         });
         (offers.collect(), looked)
@@ -446,9 +460,16 @@
 
     /// What the job's next task costs on a machine that suits it; `None` if it can't go
     /// there.
-    fn cost_of(&self, live: &Live, m: &Machine, round: &Round) -> Option<f64> {
+    fn cost_of(
+        &self,
+        failures: &FailureLog,
+        live: &Live,
+        (id, m): (&MachineId, &Machine),
+        round: &Round,
+    ) -> Option<f64> {
         let class = self.catalog.get(m.class)?;
-        if !m.free().holds(live.rec.need) || !usable(m, self.settings, self.now) {
+        let usable = usable(m, self.settings, self.now) && failures.rested(id, self.now);
+        if !m.free().holds(live.rec.need) || !usable {
             return None;
         }
         let young = self.now.since(live.since) < KEPT_S;
@@ -568,7 +589,6 @@
         && m.session > 0
         && (m.held.is_some() || now.since(m.seen) < quiet)
         && now >= m.full_until
-        && m.health.rested(now)
 }
 
 fn cost(desk: &Desk, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
@@ -624,8 +644,8 @@
     let mut ready: BTreeMap<&Image, u32> = BTreeMap::new();
     let needs = h.wares.values().map(|w| w.need);
     let least = needs.reduce(Room::least).unwrap_or_default();
-    for (_, m) in h.machines.roomy(least, |_, spot, _| !spot) {
-        if !usable(m, settings, now) {
+    for (id, m) in h.machines.roomy(least, |_, spot, _| !spot) {
+        if !usable(m, settings, now) || !h.failures.rested(id, now) {
             continue;
         }
         let free = m.free();
@@ -707,7 +727,7 @@
     let (mut found, mut looked) = (Vec::new(), 0);
     for (name, m) in h.machines.ranked(fits) {
         looked += 1;
-        if !zone_allowed(live, &m.zone) || !m.health.rested(now) {
+        if !zone_allowed(live, &m.zone) || !h.failures.rested(name, now) {
             continue;
         }
         if let Some((loss, tasks)) = victims_on(h, live, m, over) {
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -290,6 +290,17 @@
 pub struct RunRec {
     pub done: Vec<(u32, u32)>,
     pub placed: Vec<Placed>,
+    /// Failed tries of the job since a task of it last succeeded, when this was written. The
+    /// next holder blames neither the machines nor the job anew.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failed_tries: u32,
+    /// Machines on which the job's tasks failed, within a bound.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_on: Vec<MachineId>,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// Bytes of a value as JSON, in which the limits on values are counted.
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -10,7 +10,6 @@
 //! 3. the cloud said that its machine is deleted.
 
 use super::fleet::Machine;
-use super::health::{BAD_JOB_MACHINES, job_pause_s};
 use super::holder::Phase;
 use super::*;
 use log::{debug, info, warn};
@@ -56,8 +55,15 @@
 const GRACE_S: f64 = 1.0;
 /// Pause before a machine that refused a task for want of room gets another.
 const FULL_S: f64 = 3.0;
-/// A sick machine's tasks get this long to stop before it is deleted.
+/// A faulty machine's tasks get this long to stop before it is deleted.
 const DRAIN_S: f64 = 15.0;
+/// A task that has run for so long is taken to be well: flawed jobs and faulty machines fail
+/// their tasks as they start.
+const RUNS_WELL_S: f64 = 10.0;
+/// Pause before a start is tried again that its machine refused for not knowing the job, and
+/// after how many of them it grows no longer.
+const UNKNOWN_PAUSE_S: f64 = 2.0;
+const UNKNOWN_PAUSES: u32 = 8;
 /// Names of deleted machines are kept for late copies of their reports.
 const GONE_S: f64 = 900.0;
 
@@ -268,6 +274,11 @@
             TaskStance::Ended => return self.read_end(id, task, t.cause),
         };
         if p.phase == phase {
+            let runs_well = phase == Phase::Running && now.since(p.since) > RUNS_WELL_S;
+            if runs_well && !p.runs_well {
+                p.runs_well = true;
+                h.task_succeeded(now, id, task);
+            }
             return;
         }
         (p.phase, p.since) = (phase, now);
@@ -295,7 +306,7 @@
         };
         match cause {
             Some(Cause::Done) => {
-                h.machines.edit(id, |m| m.health.succeeded());
+                h.task_succeeded(now, id, task);
                 return h.set_done(now, task);
             }
             Some(Cause::Error) => self.task_failed(id, task),
@@ -306,8 +317,9 @@
             Some(Cause::Unknown) => {
                 // Its description isn't there yet, or never will be.
                 if let Some(live) = h.jobs.get_mut(&task.job) {
-                    live.fails += 1;
-                    live.not_before = now.after(2.0 * f64::from(live.fails.min(8)));
+                    live.unknown_starts += 1;
+                    let pauses = live.unknown_starts.min(UNKNOWN_PAUSES);
+                    live.not_before = now.after(UNKNOWN_PAUSE_S * f64::from(pauses));
                 }
             }
             _ => {}
@@ -325,24 +337,9 @@
         let Some(live) = h.jobs.get_mut(&task.job) else {
             return;
         };
-        live.fails += 1;
-        live.failed_on.insert(id.clone());
-        live.not_before = now.after(job_pause_s(live.fails));
-        let blame = live.failed_on.len() < BAD_JOB_MACHINES;
-        warn!(
-            "task {task} failed on {id}, failure {} in a row",
-            live.fails
-        );
-        h.machines.edit(id, |m| {
-            // A job that fails everywhere mustn't take the fleet down with it.
-            if blame {
-                m.health.failed(now, &task.job);
-            }
-            if m.health.sick() && m.doomed.is_none() {
-                warn!("machine {id} fails what it is given: to be replaced");
-                m.doomed = Some(now.after(DRAIN_S));
-            }
-        });
+        let tries = h.failures.task_failed(now, &task.job, id);
+        live.not_before = now.after(h.failures.pause_s(&task.job));
+        warn!("task {task} failed on {id}, failed try {tries} in a row");
     }
 
     /// What a machine is to do now. Derived from what is known, not from what was
@@ -776,6 +773,19 @@
         }
     }
 
+    /// A task completed or runs well. A machine on which its job failed before is faulty
+    /// then, if others say so too.
+    fn task_succeeded(&mut self, now: Time, id: &MachineId, task: &TaskId) {
+        for faulty in self.failures.task_succeeded(&task.job, id) {
+            self.machines.edit(&faulty, |m| {
+                if m.doomed.is_none() {
+                    warn!("machine {faulty} fails what others can run: to be replaced");
+                    m.doomed = Some(now.after(DRAIN_S));
+                }
+            });
+        }
+    }
+
     /// Decides to delete a machine. Nothing is placed on it from now on.
     pub(crate) fn doom(&mut self, now: Time, id: &MachineId, why: &str) {
         self.machines.edit(id, |m| {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -264,6 +264,22 @@
             }
             true
         }
+        "sick-machines-at-most" => {
+            let sick = world.workers.values().filter(|w| w.sick).count();
+            if sick > l[1].parse().expect("a count") {
+                return Err(format!("expected: {}, was {sick}", l.join(" ")));
+            }
+            true
+        }
+        // So many of the machines that the scenario began with are still there.
+        "first-machines" => {
+            let first = world.cloud.rigs.values().filter(|r| r.rented == 0);
+            let left = first.filter(|r| r.gone.is_none()).count();
+            if left < l[1].parse().expect("a count") {
+                return Err(format!("expected: {}, was {left}", l.join(" ")));
+            }
+            true
+        }
         "starts-at-most" => world.checker.starts <= l[1].parse().expect("a count"),
         "numbers-at-most" => world.numbers.len() <= l[1].parse().expect("a count"),
         "no-takeover" => world.numbers.len() == 1,
--- /dev/null
+++ b/tests/stored_forms.rs
@@ -0,0 +1,204 @@
+//! The bytes of each stored record and of each message between controllers, as processes that
+//! run now write and send them. A change of names or of field order that alters one of them
+//! needs a form that still reads the old bytes, or a new version of the messages.
+
+use salttrestle::core::ReqId;
+use salttrestle::core::records::*;
+use salttrestle::ids::{Attempt, Image, MachineId, Member, Number};
+use salttrestle::peer::{self, Beat, BeatAnswer, Hello, Message, PoolCount, Tally, TeamCount};
+use salttrestle::wire::{self, Cause, Num, Report, ReportTask, TaskStance};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let digits = text.as_bytes().chunks(2);
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).expect("ASCII"), 16);
+    digits.map(|pair| byte(pair).expect("hex")).collect()
+}
+
+/// A record is written as these bytes, and these bytes are read as this record.
+fn check_record<T: Serialize + DeserializeOwned + Debug + PartialEq>(record: &T, bytes: &str) {
+    assert_eq!(hex(&wire::encode(record)), bytes, "{record:?}");
+    let read: T = wire::decode(&unhex(bytes)).expect("a record");
+    assert_eq!(&read, record);
+}
+
+fn machine() -> MachineId {
+    MachineId::from("i-000231")
+}
+
+fn member() -> Member {
+    Member::from("trestlehand-0")
+}
+
+fn job() -> JobRec {
+    JobRec {
+        class: "train".into(),
+        team: "vision".into(),
+        form: Form::Batch,
+        rank: Rank::Urgent,
+        count: 16,
+        need: Room {
+            cpus: 8.0,
+            gpus: 1.0,
+            mem: 64.0,
+        },
+        image: Image::from("img-07"),
+        image_gb: 6.2,
+        types: Some(vec!["g8".into()]),
+        zone: None,
+        one_zone: true,
+        scatter: false,
+        spot: true,
+        estimate_s: 240.0,
+        checkpoint_s: 30.0,
+        save_s: 4.0,
+        deadline_s: Some(900.0),
+        chunk: 68,
+        block: 0,
+        withdrawn: false,
+    }
+}
+
+#[test]
+fn control_records() {
+    let leader = LeaderRec {
+        member: member(),
+        boot: 7,
+        number: Number(41),
+        hold: 12,
+    };
+    check_record(&leader, LEADER);
+    let number = NumberRec {
+        highest: Number(42),
+    };
+    check_record(&number, NUMBER);
+    let block = BlockRec {
+        holder: member(),
+        boot: 7,
+        number: Number(41),
+        machines: Some(vec![(machine(), "g8".into(), "a".into(), true)]),
+        allowances: Some([("vision".into(), (8.0, 1.0))].into()),
+    };
+    check_record(&block, BLOCK);
+    let plan = PlanRec {
+        number: Number(41),
+        wanted: vec![("g8".into(), false, 3)],
+        hires: vec![HireRec {
+            name: "r-41-1".into(),
+            class: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 3,
+        }],
+        shares: vec![(0, 1)],
+        closed: vec![("g8".into(), "b".into(), true)],
+        returns: vec![machine()],
+    };
+    check_record(&plan, PLAN);
+}
+
+#[test]
+fn job_records() {
+    check_record(&job(), JOB);
+    check_record(&Ending::Done, DONE);
+    check_record(&Ending::Withdrawn, WITHDRAWN);
+    let mut run = RunRec {
+        done: vec![(0, 3)],
+        placed: vec![(4, Attempt(99), machine(), "a".into())],
+        ..RunRec::default()
+    };
+    // As written before failures were, and since where there are none.
+    check_record(&run, RUN);
+    run.failed_tries = 2;
+    run.failed_on = vec![machine()];
+    check_record(&run, FAILED_RUN);
+}
+
+fn check_message(message: &Message, bytes: &str) {
+    let framed = peer::frame(message).expect("short enough");
+    assert_eq!(hex(&framed), bytes, "{message:?}");
+    let mut buffer = unhex(bytes);
+    let read = peer::unframe(&mut buffer).expect("well formed");
+    assert_eq!(read.as_ref(), Some(message));
+}
+
+#[test]
+fn messages() {
+    let hello = Hello {
+        from: member(),
+        boot: 7,
+        leader: Some(member()),
+        blocks: vec![(0, Number(41), member())],
+        sighted: true,
+        blind_ms: 20,
+        heard: true,
+        deaf: false,
+        relays: true,
+        at_ms: 1000,
+        echoes: vec![(Member::from("trestlehand-1"), 8, 900)],
+        sheltered_ms: 5000,
+        overdue: vec![machine()],
+    };
+    check_message(&Message::Hello(hello), HELLO);
+    let report = Report {
+        machine: "i-000231".into(),
+        endpoint: "10.1.0.232:9000".into(),
+        class: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        session: 1,
+        seq: 88,
+        number: 41,
+        notice_s: Some(Num(12.5)),
+        tasks: vec![ReportTask {
+            task: "wk-000398/0".into(),
+            attempt: Attempt(1),
+            stance: TaskStance::Ended,
+            cause: Some(Cause::Done),
+        }],
+    };
+    let beat = Beat::new(&member(), 7, ReqId(3), &report);
+    check_message(&Message::Beat(Box::new(beat)), BEAT);
+    let answer = BeatAnswer {
+        boot: 7,
+        req: 3,
+        status: 200,
+        body: vec![0xa0],
+        retry_after: Some(2),
+    };
+    check_message(&Message::BeatAnswer(answer), BEAT_ANSWER);
+    let tally = Tally {
+        from: member(),
+        block: 0,
+        number: Number(41),
+        mark: 412,
+        pools: vec![("g8".into(), false, PoolCount::default())],
+        zones: vec![("g8".into(), false, "a".into(), 3)],
+        pins: vec![("g8".into(), false, "b".into(), 1)],
+        empty: vec![("g8".into(), false, machine())],
+        gone: vec![machine()],
+        teams: vec![("vision".into(), TeamCount::default())],
+    };
+    check_message(&Message::Tally(Box::new(tally)), TALLY);
+}
+
+const LEADER: &str =
+    "a4666d656d6265726d74726573746c6568616e642d3064626f6f7407666e756d626572182964686f6c640c";
+const NUMBER: &str = "a16768696768657374182a";
+const BLOCK: &str = "a566686f6c6465726d74726573746c6568616e642d3064626f6f7407666e756d6265721829686d616368696e657381856267386161f568692d303030323331606a616c6c6f77616e636573a166766973696f6e82f94800f93c00";
+const PLAN: &str = "a6666e756d62657218296677616e7465648183626738f40365686972657381a5646e616d6566722d34312d3165636c617373626738647a6f6e6561616473706f74f465636f756e7403667368617265738182000166636c6f73656481836267386162f56772657475726e738168692d303030323331";
+const JOB: &str = "b465636c61737365747261696e647465616d66766973696f6e64666f726d6542617463686472616e6b66557267656e7465636f756e7410646e656564a36463707573f948006467707573f93c00636d656df9540065696d61676566696d672d303768696d6167655f6762fb4018cccccccccccd65747970657381626738647a6f6e65f6686f6e655f7a6f6e65f56773636174746572f46473706f74f56a657374696d6174655f73f95b806c636865636b706f696e745f73f94f8066736176655f73f944006a646561646c696e655f73f96308656368756e6b184465626c6f636b006977697468647261776ef4";
+const DONE: &str = "64446f6e65";
+const WITHDRAWN: &str = "6957697468647261776e";
+const RUN: &str = "a264646f6e658182000366706c61636564818404186368692d3030303233316161";
+const FAILED_RUN: &str = "a464646f6e658182000366706c61636564818404186368692d30303032333161616c6661696c65645f747269657302696661696c65645f6f6e8168692d303030323331";
+const HELLO: &str = "0000005504000d74726573746c6568616e642d3007010d74726573746c6568616e642d300100290d74726573746c6568616e642d300114010001e807010d74726573746c6568616e642d3108840788270108692d303030323331";
+const BEAT: &str = "0000004d04020d74726573746c6568616e642d30070308692d3030303233310f31302e312e302e3233323a39303030026738016101015829010000000000002940010b776b2d3030303339382f3001030100";
+const BEAT_ANSWER: &str = "0000000904030703c80101a00102";
+const TALLY: &str = "0000008b04010d74726573746c6568616e642d3000299c030102673800000000000000000000000000000000000000000000000000000000000000000000000001026738000161030102673800016201010267380008692d3030303233310108692d3030303233310106766973696f6e0000000000000000000000000000000000000000000000000000000000000000";
