The autoscaler is five modules of one job each; a rental is called one everywhere

demand, tick, plan, rentals, machines, split by what changes together; nothing else changes. `Hire` and `hires` are `Rental` and `rentals`, the stored key stays by a serde rename (stored_forms holds the bytes).

--- /dev/null
+++ b/src/core/autoscaler/demand.rs
@@ -0,0 +1,273 @@
+//! Counts of what waits and what runs, by pool.
+
+use super::{Pool, Zones};
+use crate::core::fleet::{Machine, Seat};
+use crate::core::placement::{within_limit, zone_allowed};
+use crate::core::records::Closed;
+use crate::core::*;
+use crate::peer::PoolCount;
+
+/// A machine this much free counts as room kept for urgent starts.
+const SPARE_SHARE: f64 = 0.5;
+
+impl PoolCount {
+    /// The larger of the two counts, each rounded up, within the ceiling.
+    ///
+    /// Tasks that wait found no room on the busy machines, so their count stands on
+    /// top of those: with the bare larger of the two, a full machine with as many
+    /// tasks waiting as running would never get a second one beside it.
+    pub(crate) fn wanted(&self, ceiling: u32) -> u32 {
+        let by_queue = self.busy + self.queued.ceil() as u32;
+        let by_running = self.running.ceil() as u32;
+        let mut room = 0.0;
+        if self.urgent {
+            room = (self.keep - self.spare).max(0.0).ceil();
+        }
+        (by_queue.max(by_running) + room as u32).min(ceiling)
+    }
+}
+
+impl Holder {
+    /// Counts every pool.
+    pub(crate) fn counts(
+        &self,
+        catalog: &[ClassInfo],
+        settings: &Settings,
+        closed: &[Closed],
+        now: Time,
+    ) -> BTreeMap<Pool, PoolCount> {
+        let lease_s = settings.platform.facts.workers.lease_s;
+        let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
+        for class in 0..catalog.len() {
+            for spot in [false, true] {
+                let keep = self.keep((class, spot), catalog, settings.tuning.headroom, now);
+                let count = PoolCount {
+                    keep,
+                    ..PoolCount::default()
+                };
+                counts.insert((class, spot), count);
+            }
+        }
+        for m in self.machines.values() {
+            let quiet = now.since(m.seen.max(self.since)) > lease_s;
+            let cut = self.cut || self.cut_zones.contains(&m.zone);
+            let silent = m.up.is_some() && m.held.is_none() && quiet && !cut;
+            // An overdue machine is replaced. If it comes after all, it is used or returned.
+            let overdue_s = self.overdue_s(catalog, m, settings.tuning.boot);
+            let silent = silent || m.up.is_none() && now.since(m.since) > overdue_s;
+            self.count_machine(catalog, m, silent, &mut counts);
+        }
+        let mut team_left = HashMap::new();
+        for id in &self.waiting {
+            let Some(live) = self.jobs.get(id) else {
+                continue;
+            };
+            if self.failures.hopeless(id) || !within_limit(self, settings, &live.rec) {
+                continue;
+            }
+            let tasks = self.within_team(settings, live.queued(), &live.rec, &mut team_left);
+            count_queued(catalog, &live.rec, closed, tasks, &mut counts);
+        }
+        counts
+    }
+
+    /// Machines lacking in particular zones: for tasks that may not go elsewhere, by
+    /// their job's zone, by its other tasks' zone, or because the other zones hold as
+    /// many of its tasks as they may.
+    pub(crate) fn pins(&self, catalog: &[ClassInfo], closed: &[Closed]) -> Zones {
+        let mut pins = Zones::new();
+        let mut ahead: BTreeMap<(Pool, &str), u32> = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.tasks.is_empty() && m.doomed.is_none() && m.notice.is_none() {
+                *ahead.entry(((m.class, m.spot), &*m.zone)).or_default() += 1;
+            }
+        }
+        let waiting = self.waiting.iter();
+        let waiting = waiting.filter(|id| !self.failures.hopeless(id));
+        for live in waiting.filter_map(|id| self.jobs.get(id)) {
+            let Some(pool) = pool_for(catalog, &live.rec, closed) else {
+                continue;
+            };
+            let class = &catalog[pool.0];
+            let zones = class.zones.iter().filter(|z| zone_allowed(live, z));
+            let zones: Vec<&String> = zones.collect();
+            if zones.is_empty() || zones.len() == class.zones.len() {
+                continue;
+            }
+            let per = per_machine(class, live.rec.need);
+            let mut need = (f64::from(live.queued()) / per).ceil() as u32;
+            for zone in &zones {
+                let have = ahead.entry((pool, zone.as_str())).or_default();
+                let taken = need.min(*have);
+                *have -= taken;
+                need -= taken;
+            }
+            let shut = |z: &str| {
+                let same = |c: &Closed| c.0 == class.name && c.1 == z && c.2 == pool.1;
+                closed.iter().any(same)
+            };
+            if let Some(zone) = zones.iter().find(|z| !shut(z)).filter(|_| need > 0) {
+                *pins.entry((pool, zone.to_string())).or_default() += need;
+            }
+        }
+        pins
+    }
+
+    fn count_machine(
+        &self,
+        catalog: &[ClassInfo],
+        m: &Machine,
+        silent: bool,
+        counts: &mut BTreeMap<Pool, PoolCount>,
+    ) {
+        let leaving = silent || m.doomed.is_some() || m.notice.is_some();
+        let Some(class) = catalog.get(m.class).filter(|_| !leaving) else {
+            return;
+        };
+        let Some(c) = counts.get_mut(&(m.class, m.spot)) else {
+            return;
+        };
+        c.provisioned += 1;
+        if m.tasks.is_empty() {
+            return;
+        }
+        c.busy += 1;
+        c.running += m.used.share_of(class.room);
+        let free = 1.0 - m.used.share_of(class.room);
+        if free >= SPARE_SHARE {
+            c.spare += free;
+        }
+        // Batch work that saves its progress makes room for urgent starts at hardly any cost.
+        for Seat { rec, .. } in m.tasks.values() {
+            let saves = rec.form == Form::Batch && rec.checkpoint_s > 0.0;
+            if saves && rec.rank <= Rank::Normal {
+                c.spare += rec.need.share_of(class.room);
+            }
+            c.urgent |= rec.form == Form::Service;
+        }
+    }
+
+    /// How many queued tasks the team's limit still lets run.
+    fn within_team(
+        &self,
+        settings: &Settings,
+        queued: u32,
+        rec: &JobRec,
+        left: &mut HashMap<String, Room>,
+    ) -> u32 {
+        let teams = &settings.platform.facts.teams;
+        let Some(team) = teams.iter().find(|t| t.name == rec.team) else {
+            return 0;
+        };
+        let used = self.teams.get(&rec.team).copied().unwrap_or_default();
+        let room = left.entry(rec.team.clone()).or_insert_with(|| {
+            let (cpus, gpus) = self.allowance(team);
+            let part = |max: f64, used: f64| if max < f64::MAX { max - used } else { max };
+            Room {
+                cpus: part(cpus, used.cpus),
+                gpus: part(gpus, used.gpus),
+                mem: f64::MAX,
+            }
+        });
+        let fit = |left: f64, need: f64| {
+            if need > 0.0 {
+                (left / need + 1e-6).floor()
+            } else {
+                f64::MAX
+            }
+        };
+        let most = fit(room.cpus, rec.need.cpus).min(fit(room.gpus, rec.need.gpus));
+        let tasks = f64::from(queued).min(most.max(0.0));
+        if room.cpus < f64::MAX {
+            room.cpus -= tasks * rec.need.cpus;
+        }
+        if room.gpus < f64::MAX {
+            room.gpus -= tasks * rec.need.gpus;
+        }
+        tasks as u32
+    }
+}
+
+/// Counts a job's queued tasks. Where the cloud has nothing left they count on the next
+/// pool, but only those that the machines on their way there don't hold: counting them
+/// all rented a second fleet beside the first, when an empty one's first pool was full.
+fn count_queued(
+    catalog: &[ClassInfo],
+    rec: &JobRec,
+    closed: &[Closed],
+    tasks: u32,
+    counts: &mut BTreeMap<Pool, PoolCount>,
+) {
+    let mut left = f64::from(tasks);
+    let last = pool_for(catalog, rec, closed);
+    for pool in pools_for(catalog, rec) {
+        let Some(c) = counts.get_mut(&pool).filter(|_| left > 0.0) else {
+            continue;
+        };
+        let per = per_machine(&catalog[pool.0], rec.need);
+        let coming = f64::from(c.provisioned - c.busy) - c.queued;
+        let here = if Some(pool) == last {
+            left
+        } else {
+            left.min((coming.max(0.0) * per).floor())
+        };
+        c.queued += here / per;
+        c.urgent |= here > 0.0 && rec.form == Form::Service;
+        left -= here;
+        if Some(pool) == last {
+            return;
+        }
+    }
+}
+
+/// The pool on which a task counts: the smallest type that fits, spot where the
+/// job may use it. Where the cloud has nothing left, the next one.
+pub(crate) fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
+    let pools = pools_for(catalog, rec);
+    let open = |pool: &&Pool| {
+        let name = &catalog[pool.0].name;
+        let zones = &catalog[pool.0].zones;
+        let mut zones = zones
+            .iter()
+            .filter(|z| rec.zone.as_ref().is_none_or(|r| r == *z));
+        zones.any(|z| {
+            !closed
+                .iter()
+                .any(|c| c.0 == *name && c.1 == *z && c.2 == pool.1)
+        })
+    };
+    pools.iter().find(open).or(pools.first()).copied()
+}
+
+/// The pools that a task may use, in the order in which it counts on them.
+fn pools_for(catalog: &[ClassInfo], rec: &JobRec) -> Vec<Pool> {
+    let mut pools: Vec<Pool> = Vec::new();
+    for (class, info) in catalog.iter().enumerate() {
+        if rec.allows(&info.name) && info.room.holds(rec.need) {
+            pools.push((class, false));
+            if rec.spot {
+                pools.push((class, true));
+            }
+        }
+    }
+    pools.sort_by(|a, b| {
+        let size = |p: &Pool| catalog[p.0].room.gpus + catalog[p.0].room.cpus / 1e3;
+        b.1.cmp(&a.1).then(size(a).total_cmp(&size(b)))
+    });
+    pools
+}
+
+/// How many of a task one machine holds; at least one.
+pub(crate) fn per_machine(class: &ClassInfo, need: Room) -> f64 {
+    let fit = |have: f64, need: f64| {
+        if need > 0.0 {
+            (have / need + 1e-6).floor()
+        } else {
+            f64::MAX
+        }
+    };
+    fit(class.room.cpus, need.cpus)
+        .min(fit(class.room.gpus, need.gpus))
+        .min(fit(class.room.mem, need.mem))
+        .clamp(1.0, 1e6)
+}
--- /dev/null
+++ b/src/core/autoscaler/machines.rs
@@ -0,0 +1,223 @@
+//! What becomes of machines: those the cloud lists, those that never come up, and those that
+//! are returned or deleted.
+
+use super::{CloudPurpose, REPEAT_S};
+use crate::core::fleet::Machine;
+use crate::core::*;
+use log::info;
+use std::collections::BTreeSet;
+
+/// Most names that one deletion may hold.
+const DELETE_MAX: usize = 100;
+/// A machine is surely listed after this many list lags.
+const LISTED_LAGS: f64 = 3.0;
+/// A boot of a type that isn't in the catalogue.
+const UNKNOWN_BOOT_S: f64 = 60.0;
+/// After how many times the time in which it is overdue a machine never comes up.
+const NEVER: f64 = 2.0;
+
+impl Core {
+    /// The leader lists machines to find those nobody expected; with several blocks,
+    /// the other holders list them, less often, to learn what became of their own.
+    pub(super) fn list_machines(&mut self) {
+        let lag = self.settings.platform.facts.cloud.list_lag_s.max(2.0);
+        let pause = if self.lead.is_some() { lag } else { 2.0 * lag };
+        if self.listing || self.now < self.list_at || self.blind() {
+            return;
+        }
+        let op = CloudOp::List { after: None };
+        if self.cloud_call(op, CloudPurpose::List(Vec::new()), Priority::Usual) {
+            self.listing = true;
+            self.list_at = self.now.after(pause);
+        }
+    }
+
+    pub(super) fn on_machine_list(&mut self, mut so_far: Vec<Listed>, reply: CloudReply) {
+        self.listing = false;
+        let CloudReply::Page { machines, more } = reply else {
+            return;
+        };
+        so_far.extend(machines);
+        let last = so_far.last().map(|l| MachineId::from(l.id.as_str()));
+        if let (true, Some(last)) = (more, last) {
+            let op = CloudOp::List { after: Some(last) };
+            let purpose = CloudPurpose::List(so_far);
+            self.listing = self.cloud_call(op, purpose, Priority::Usual);
+            return;
+        }
+        let lag = self.settings.platform.facts.cloud.list_lag_s;
+        let (now, settled_s) = (self.now, LISTED_LAGS * lag + REPEAT_S);
+        let listed: BTreeSet<&str> = so_far.iter().map(|l| l.id.as_str()).collect();
+        for h in self.parked.values_mut() {
+            for l in &so_far {
+                h.see_listed(now, &self.catalog, l);
+            }
+            h.miss_listed(now, settled_s, &listed);
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.scale.listed = true;
+            for l in so_far {
+                let id = MachineId::from(l.id.as_str());
+                self.add_stray((id, l.class, l.zone, l.spot));
+            }
+        }
+    }
+
+    /// Machines that never come up are paid for until they are deleted. That is long after
+    /// they were replaced: on a night on which all boots took several times as long, each was
+    /// deleted shortly before it was up, and rented anew.
+    pub(crate) fn doom_unborn(&mut self) {
+        let (now, boot) = (self.now, self.settings.tuning.boot);
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let never = |m: &Machine| now.since(m.since) > NEVER * h.overdue_s(&self.catalog, m, boot);
+        let never = h.machines.unborn().filter(|(_, m)| never(m));
+        let never: Vec<MachineId> = never.map(|(id, _)| id.clone()).collect();
+        for id in never {
+            h.doom(now, &id, "it never came up");
+        }
+    }
+
+    /// A deletion needs no lease: it can only cost a machine, and proves its tasks gone.
+    pub(crate) fn delete_doomed(&mut self) {
+        let now = self.now;
+        if self.blind() {
+            return;
+        }
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut ids = Vec::new();
+        for (id, m) in h.machines.leaving() {
+            let due = m.doomed.is_some_and(|at| now >= at || m.tasks.is_empty());
+            if due && !m.deleting && ids.len() < DELETE_MAX && !h.committing_on(m) {
+                ids.push(id.clone());
+            }
+        }
+        if ids.is_empty() {
+            return;
+        }
+        let op = CloudOp::Delete(ids.clone());
+        if self.cloud_call(op, CloudPurpose::Delete(ids.clone()), Priority::First)
+            && let Some(h) = &mut self.holder
+        {
+            for id in &ids {
+                h.machines.edit(id, |m| m.deleting = true);
+            }
+        }
+    }
+
+    /// Once the deletion is answered, the machine and all on it are gone.
+    pub(super) fn on_deleted(&mut self, ids: Vec<MachineId>, reply: CloudReply) {
+        let now = self.now;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        let mut held = Vec::new();
+        for id in ids {
+            if reply != CloudReply::Deleted {
+                h.machines.edit(&id, |m| m.deleting = false);
+                continue;
+            }
+            info!("machine {id} deleted");
+            held.extend(h.remove_machine(now, &id));
+        }
+        for req in held {
+            self.answer(req, Reply::later(503, 5, "this machine is deleted"));
+        }
+    }
+
+    /// Returns the machines that the leader's plan names, if they are still empty.
+    pub(crate) fn obey_plan(&mut self) {
+        let mark = self.cache.plan.mark;
+        if mark == self.plan_seen {
+            return;
+        }
+        self.plan_seen = mark;
+        let now = self.now;
+        let returns = self.cache.plan.rec.iter().flat_map(|p| &p.returns);
+        for id in returns {
+            for h in self.parked.values_mut() {
+                let idle = |m: &Machine| m.up.is_some() && m.tasks.is_empty();
+                if h.machines.get(id).is_some_and(idle) {
+                    h.doom(now, id, "it is empty and no longer wanted");
+                }
+            }
+        }
+    }
+}
+
+impl Holder {
+    fn committing_on(&self, m: &Machine) -> bool {
+        m.tasks.keys().any(|t| {
+            let p = self.jobs.get(&t.job).and_then(|l| l.placed.get(&t.index));
+            p.is_some_and(|p| p.phase == holder::Phase::Committing)
+        })
+    }
+
+    /// Takes note of a listed machine.
+    fn see_listed(&mut self, now: Time, catalog: &[ClassInfo], l: &Listed) {
+        let id = MachineId::from(l.id.as_str());
+        if self.gone.contains_key(&id) {
+            return;
+        }
+        if self.whole && !self.machines.contains_key(&id) {
+            let mut m = Machine::new(catalog, &l.class, &l.zone, l.spot, now);
+            m.since = Time(now.0.saturating_sub((l.age_s().max(0.0) * 1000.0) as u64));
+            self.machines.insert(id.clone(), m);
+        }
+        let known = self.machines.get(&id);
+        let wakes = |m: &Machine| l.stance == MachineStance::Running && m.up.is_none();
+        if known.is_some_and(|m| m.class == usize::MAX || wakes(m)) {
+            self.machines.edit(&id, |m| {
+                if wakes(m) {
+                    // From now on it counts as silent unless it reports.
+                    (m.up, m.seen) = (Some(now), now);
+                }
+                m.learn(catalog, &l.class, &l.zone, l.spot);
+            });
+        }
+        if l.stance == MachineStance::Failed {
+            self.doom(now, &id, "the cloud lists it as failed");
+        }
+    }
+
+    /// Machines that should be listed by now and never were, nor ever reported, are
+    /// gone or never came to be. Absence proves nothing, so they are deleted.
+    fn miss_listed(&mut self, now: Time, settled_s: f64, listed: &BTreeSet<&str>) {
+        let since = self.since;
+        let unseen = |m: &Machine| now.since(m.since.max(since)) > settled_s;
+        let missing = self.machines.unborn();
+        let missing = missing.filter(|(id, m)| unseen(m) && !listed.contains(id.as_str()));
+        let missing: Vec<MachineId> = missing.map(|(id, _)| id.clone()).collect();
+        for id in missing {
+            self.doom(now, &id, "the cloud doesn't list it");
+        }
+    }
+
+    /// After how long a machine that isn't up is overdue.
+    pub(super) fn overdue_s(&self, catalog: &[ClassInfo], m: &Machine, boot: f64) -> f64 {
+        let ready_s = catalog.get(m.class).map_or(UNKNOWN_BOOT_S, |c| c.ready_s);
+        boot * self.usual_boot_s(m.class, ready_s)
+    }
+
+    /// Forgets a deleted machine; its tasks are proven gone. Returns the request
+    /// that waited for its commands.
+    fn remove_machine(&mut self, now: Time, id: &MachineId) -> Option<ReqId> {
+        let m = self.machines.get(id)?;
+        let held = m.held;
+        let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
+        for task in tasks {
+            self.take(now, &task);
+        }
+        if let Some((_, until)) = held {
+            self.releases.remove(&(until, id.clone()));
+        }
+        self.machines.remove(id);
+        self.failures.forget_machine(id);
+        self.gone.insert(id.clone(), now);
+        self.place_wanted = true;
+        held.map(|(req, _)| req)
+    }
+}
--- /dev/null
+++ b/src/core/autoscaler/mod.rs
@@ -0,0 +1,108 @@
+//! How many machines there are. Each type is a pool, ordinary and spot apart. Each
+//! tick compares the larger of two counts, what waits and what runs, with what is
+//! provisioned, booting machines included.
+//!
+//! [`demand`] counts, `tick` decides, `plan` writes the decision down, `rentals` carries
+//! rentals out, and `machines` follows what becomes of the machines, to their deletion.
+
+mod demand;
+mod machines;
+mod plan;
+mod rentals;
+mod tick;
+
+use super::*;
+pub(crate) use demand::{per_machine, pool_for};
+pub(crate) use plan::Scale;
+
+/// A machine type's index in the catalogue, and whether it is spot.
+pub(crate) type Pool = (usize, bool);
+
+/// Machines of a pool by zone.
+pub(crate) type Zones = BTreeMap<(Pool, String), u32>;
+
+#[derive(Debug)]
+pub(crate) enum CloudPurpose {
+    Catalog,
+    Rent(String),
+    Delete(Vec<MachineId>),
+    List(Vec<Listed>),
+}
+
+/// Pause before a rental without an answer is repeated.
+const REPEAT_S: f64 = 2.0;
+/// Counts are told to the leader this often, as a share of its tick.
+const TALLY_SHARE: f64 = 0.2;
+
+impl Core {
+    pub(crate) fn catalog_chores(&mut self) {
+        if self.catalog.is_empty() && self.now >= self.catalog_retry {
+            self.catalog_retry = self.now.after(REPEAT_S);
+            self.cloud_call(CloudOp::Catalog, CloudPurpose::Catalog, Priority::First);
+        }
+    }
+
+    pub(crate) fn lead_chores(&mut self) {
+        if self.now >= self.tally_at {
+            self.tally_at = self.now.after(self.settings.tuning.tick_s * TALLY_SHARE);
+            self.tally_chores();
+            self.lease_chores();
+        }
+        if self.catalog.is_empty() {
+            return;
+        }
+        let several = self.parked.values().any(|h| !h.whole);
+        if self.grant_alive() || several {
+            self.list_machines();
+        }
+        if !self.grant_alive() {
+            return;
+        }
+        self.send_rentals();
+        self.tick();
+        self.write_plan();
+    }
+
+    fn cloud_call(&mut self, op: CloudOp, purpose: CloudPurpose, priority: Priority) -> bool {
+        if !self.cloud_budget.has(self.now, 1.0, priority) {
+            return false;
+        }
+        self.cloud_budget.take(1.0);
+        let id = self.call_id();
+        let tenure = self.tenure();
+        self.cloud_calls.insert(id, (purpose, tenure));
+        self.out.push(Output::Cloud(id, op));
+        true
+    }
+
+    pub(crate) fn on_cloud(&mut self, id: CallId, reply: CloudReply) {
+        let Some((purpose, tenure)) = self.cloud_calls.remove(&id) else {
+            return;
+        };
+        if reply == CloudReply::Trouble {
+            self.cloud_budget.drain();
+        }
+        match purpose {
+            CloudPurpose::Catalog => self.on_catalog(reply),
+            CloudPurpose::Rent(name) => self.on_rented(&name, reply),
+            CloudPurpose::Delete(ids) => {
+                if let Some((block, _)) = tenure {
+                    self.in_block(block, |core| core.on_deleted(ids, reply));
+                }
+            }
+            CloudPurpose::List(so_far) => self.on_machine_list(so_far, reply),
+        }
+    }
+
+    fn on_catalog(&mut self, reply: CloudReply) {
+        let CloudReply::Catalog(classes) = reply else {
+            return;
+        };
+        self.catalog = classes;
+        let catalog = &self.catalog;
+        for h in self.parked.values_mut() {
+            h.machines.edit_all(|m| m.find_class(catalog));
+            h.place_wanted = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/autoscaler/tick.rs
@@ -0,0 +1,134 @@
+//! The tick: from the blocks' counts to rentals and returns.
+
+use super::rentals::RentalStep;
+use super::{Pool, Zones};
+use crate::core::*;
+use crate::peer::PoolCount;
+use log::{debug, info, warn};
+
+/// What the blocks' holders count, put together.
+#[derive(Default)]
+struct FleetCounts {
+    counts: BTreeMap<Pool, BTreeMap<u32, PoolCount>>,
+    zones: Zones,
+    pins: Zones,
+    empty: BTreeMap<Pool, Vec<MachineId>>,
+    /// Machines asked for, without an answer yet.
+    asked: BTreeMap<Pool, u32>,
+}
+
+impl Core {
+    pub(super) fn tick(&mut self) {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let s = &mut lead.scale;
+        let unanswered = s
+            .rentals
+            .iter()
+            .any(|rental| rental.step != RentalStep::Answered);
+        let blocks = self.cache.blocks.len();
+        if s.ready.is_none() && s.listed && !unanswered && lead.tallies.len() >= blocks {
+            s.ready = Some(now);
+            s.tick_at = now;
+            info!("counts are rebuilt");
+        }
+        let Some(ready) = lead.scale.ready.filter(|_| now >= lead.scale.tick_at) else {
+            return;
+        };
+        lead.scale.tick_at = now.after(self.settings.tuning.tick_s);
+        self.tally_chores();
+        let fleet = self.count_fleet();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.needs.clear();
+        let ceiling = self.settings.ceiling();
+        for (pool, blocks) in fleet.counts {
+            // A machine serves its own block only, so each block's gap is its own.
+            let (mut wanted, mut gap, mut provisioned) = (0, 0, 0);
+            for (block, count) in &blocks {
+                let w = count.wanted(ceiling);
+                debug!("pool {pool:?} of block {block}: {count:?}, wanted {w}");
+                let need = w.saturating_sub(count.provisioned);
+                (wanted, gap, provisioned) =
+                    (wanted + w, gap + need, provisioned + count.provisioned);
+                let name = self.catalog[pool.0].name.clone();
+                lead.needs.insert((name, pool.1, *block), need);
+            }
+            let window_s = self.settings.tuning.window * self.catalog[pool.0].ready_s;
+            lead.scale.remember(pool, now, wanted, window_s);
+            let room = ceiling.saturating_sub(provisioned);
+            if wanted >= ceiling {
+                warn!("pool {pool:?} wants {wanted} machines, as many as its ceiling allows");
+            }
+            let asked = fleet.asked.get(&pool).copied().unwrap_or(0);
+            // A machine in the wrong zone is no help to tasks that may not go there.
+            let pins = fleet.pins.iter().filter(|((p, _), _)| *p == pool);
+            let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
+            let gap = gap.max(pins.values().sum());
+            let gap = gap.min(room).saturating_sub(asked);
+            let gap = gap.min(self.settings.rise(gap));
+            if gap > 0 {
+                lead.scale.rent(
+                    &self.catalog,
+                    pool,
+                    gap,
+                    (&fleet.zones, &pins),
+                    lead.number,
+                    now,
+                );
+            }
+            // A new leader hasn't seen how high the count stood before its time.
+            if now.since(ready) < window_s {
+                continue;
+            }
+            let keep = lead.scale.highest(pool).max(wanted);
+            let surplus = (provisioned + asked).saturating_sub(keep) as usize;
+            let idle = fleet.empty.get(&pool).into_iter().flatten();
+            let before = lead.scale.returns.len();
+            lead.scale.returns.extend(idle.take(surplus).cloned());
+            lead.scale.plan_dirty |= lead.scale.returns.len() > before;
+        }
+    }
+
+    /// Adds up what the blocks' holders count.
+    fn count_fleet(&self) -> FleetCounts {
+        let mut fleet = FleetCounts::default();
+        let class = |name: &str| self.catalog.iter().position(|c| c.name == name);
+        for t in self.believed() {
+            for (name, spot, c) in &t.pools {
+                if let Some(class) = class(name) {
+                    let pool = fleet.counts.entry((class, *spot)).or_default();
+                    pool.insert(t.block, *c);
+                }
+            }
+            for (name, spot, zone, n) in &t.zones {
+                if let Some(class) = class(name) {
+                    let key = ((class, *spot), zone.clone());
+                    *fleet.zones.entry(key).or_default() += n;
+                }
+            }
+            for (name, spot, zone, n) in &t.pins {
+                if let Some(class) = class(name) {
+                    let key = ((class, *spot), zone.clone());
+                    *fleet.pins.entry(key).or_default() += n;
+                }
+            }
+            for (name, spot, id) in &t.empty {
+                if let Some(class) = class(name) {
+                    let pool = fleet.empty.entry((class, *spot)).or_default();
+                    pool.push(id.clone());
+                }
+            }
+        }
+        let rentals = self.lead.iter().flat_map(|l| &l.scale.rentals);
+        for rental in rentals.filter(|rental| rental.step != RentalStep::Answered) {
+            if let Some(class) = class(&rental.rec.class) {
+                *fleet.asked.entry((class, rental.rec.spot)).or_default() += rental.rec.count;
+            }
+        }
+        fleet
+    }
+}
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -161,7 +161,7 @@
 /// One request to rent, written before it is sent, so that a new leader can repeat
 /// it under the same name and learn its machines instead of renting again.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HireRec {
+pub struct RentalRec {
     pub name: String,
     pub class: String,
     pub zone: String,
@@ -177,7 +177,8 @@
 pub struct PlanRec {
     pub number: Number,
     pub wanted: Vec<(String, bool, u32)>,
-    pub hires: Vec<HireRec>,
+    #[serde(rename = "hires")]
+    pub rentals: Vec<RentalRec>,
     /// Blocks that take new jobs, each with its share.
     #[serde(default)]
     pub shares: Vec<(u32, u32)>,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -364,7 +364,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CloudOp {
     Catalog,
-    Rent(HireRec),
+    Rent(RentalRec),
     Delete(Vec<MachineId>),
     List { after: Option<MachineId> },
 }
@@ -465,8 +465,9 @@
 }
 
 #[derive(Serialize)]
-struct HireBody<'a> {
-    hire: &'a str,
+struct RentalBody<'a> {
+    #[serde(rename = "hire")]
+    name: &'a str,
     build: &'a str,
     quarter: &'a str,
     borrowed: bool,
@@ -499,8 +500,8 @@
             Self::Catalog => get("/catalog".into()),
             Self::Rent(h) => post(
                 "/rentals",
-                encode(&HireBody {
-                    hire: &h.name,
+                encode(&RentalBody {
+                    name: &h.name,
                     build: &h.class,
                     quarter: &h.zone,
                     borrowed: h.spot,
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -89,7 +89,7 @@
     let plan = PlanRec {
         number: Number(41),
         wanted: vec![("g8".into(), false, 3)],
-        hires: vec![HireRec {
+        rentals: vec![RentalRec {
             name: "r-41-1".into(),
             class: "g8".into(),
             zone: "a".into(),
