Work that waits on a slow pool counts on others; urgent work isn't kept by late boots

Seen: the scenario slow_pool (all boots of the smallest type take 12 times as long, a larger type is well): nothing ran at all in 230 s, and 32 machines were rented and deleted one after the other. late_machines: urgent services waited until six machines that never came up were overdue, after 3.5 times the usual boot.

Cause: overdue machines were replaced in their own pool only, and every task counts on the first pool of which the cloud has machines left, however late these come.

Done: a machine is late after 1.75 times what its type's boots have taken (usual ones take up to 1.5 times). A pool half of whose booting machines are late is passed over by urgent work, one half of whose are overdue by all work. Where there is no other, urgent work gets as many machines as are late, once. A late machine still counts for the room that is kept.

Ruled out: deleting sooner (slow_night: machines were deleted shortly before they came up).

--- a/src/core/autoscaler/demand.rs
+++ b/src/core/autoscaler/demand.rs
@@ -6,11 +6,54 @@
 use crate::core::records::Closed;
 use crate::core::*;
 use crate::peer::PoolCount;
+use std::collections::BTreeSet;
 
 /// A machine this much free counts as room kept for urgent starts.
 const SPARE_SHARE: f64 = 0.5;
 
+/// A machine that has been booting for longer than so many times what its type's boots have
+/// taken lately is late: usual ones take up to one and a half times as long. Urgent work
+/// doesn't wait for it.
+const LATE_BOOTS: f64 = 1.75;
+
+/// Pools of which at least half of the machines that boot are late or overdue. Work that may
+/// use others counts on these: an empty fleet whose smallest type didn't come up ran nothing,
+/// and rented and deleted that type's machines without end.
+#[derive(Default)]
+struct SlowPools {
+    /// Slow for urgent work: half are late.
+    for_urgent: BTreeSet<Pool>,
+    /// Slow for all work: half are overdue.
+    for_all: BTreeSet<Pool>,
+    /// Late machines that aren't overdue yet.
+    late: BTreeMap<Pool, u32>,
+    /// Machines' worth of urgent work that counts on each pool. For these, as many others are
+    /// rented as are late, once each: late ones that come after all count again.
+    urgent_waiting: BTreeMap<Pool, f64>,
+}
+
+impl SlowPools {
+    fn slow(&self, pool: &Pool, urgent: bool) -> bool {
+        let pools = if urgent {
+            &self.for_urgent
+        } else {
+            &self.for_all
+        };
+        pools.contains(pool)
+    }
+}
+
 impl PoolCount {
+    /// Makes the count ask for machines in place of late ones, as many as urgent work waits
+    /// for beyond those that come in time. The room that is kept stays on the late ones: they
+    /// may come, and count again then.
+    fn replace_late(&mut self, late: u32, waiting: u32) {
+        let in_time = self.provisioned.saturating_sub(self.busy + late);
+        let lacking = waiting.saturating_sub(in_time).min(late);
+        let wanted = self.wanted(u32::MAX);
+        self.provisioned = self.provisioned.min(wanted.saturating_sub(lacking));
+    }
+
     /// The larger of the two counts, each rounded up, within the ceiling.
     ///
     /// Tasks that wait found no room on the busy machines, so their count stands on
@@ -37,6 +80,7 @@
         now: Time,
     ) -> BTreeMap<Pool, PoolCount> {
         let lease_s = settings.platform.facts.workers.lease_s;
+        let mut slow = self.slow_pools(catalog, settings.tuning.boot, now);
         let mut counts: BTreeMap<Pool, PoolCount> = BTreeMap::new();
         for class in 0..catalog.len() {
             for spot in [false, true] {
@@ -53,8 +97,8 @@
             let cut = self.cut || self.cut_zones.contains(&m.zone);
             let silent = m.up.is_some() && m.held.is_none() && quiet && !cut;
             // An overdue machine is replaced. If it comes after all, it is used or returned.
-            let overdue_s = self.overdue_s(catalog, m, settings.tuning.boot);
-            let silent = silent || m.up.is_none() && now.since(m.since) > overdue_s;
+            let overdue = settings.tuning.boot;
+            let silent = silent || self.boots_longer_than(overdue, catalog, m, now);
             self.count_machine(catalog, m, silent, &mut counts);
         }
         let mut team_left = HashMap::new();
@@ -66,11 +110,47 @@
                 continue;
             }
             let tasks = self.within_team(settings, live.queued(), &live.rec, &mut team_left);
-            count_queued(catalog, &live.rec, closed, tasks, &mut counts);
+            count_queued(catalog, &live.rec, closed, &mut slow, tasks, &mut counts);
+        }
+        for (pool, waiting) in slow.urgent_waiting {
+            let late = slow.late.get(&pool).copied().unwrap_or(0);
+            if let Some(count) = counts.get_mut(&pool) {
+                count.replace_late(late, waiting.ceil() as u32);
+            }
         }
         counts
     }
 
+    /// The pools whose machines come late.
+    fn slow_pools(&self, catalog: &[ClassInfo], overdue: f64, now: Time) -> SlowPools {
+        let mut booting: BTreeMap<Pool, (u32, u32, u32)> = BTreeMap::new();
+        for (_, m) in self.machines.unborn() {
+            let count = booting.entry((m.class, m.spot)).or_default();
+            let late = self.boots_longer_than(LATE_BOOTS, catalog, m, now);
+            let overdue = self.boots_longer_than(overdue, catalog, m, now);
+            count.0 += 1;
+            count.1 += u32::from(late && !overdue);
+            count.2 += u32::from(overdue);
+        }
+        let mut slow = SlowPools::default();
+        for (pool, (all, late, overdue)) in booting {
+            slow.late.insert(pool, late);
+            if 2 * (late + overdue) >= all && late + overdue > 0 {
+                slow.for_urgent.insert(pool);
+            }
+            if 2 * overdue >= all && overdue > 0 {
+                slow.for_all.insert(pool);
+            }
+        }
+        slow
+    }
+
+    /// Whether a machine has been booting for longer than so many times what its type's boots
+    /// have taken lately.
+    fn boots_longer_than(&self, times: f64, catalog: &[ClassInfo], m: &Machine, now: Time) -> bool {
+        m.up.is_none() && now.since(m.since) > self.overdue_s(catalog, m, times)
+    }
+
     /// Machines lacking in particular zones: for tasks that may not go elsewhere, by
     /// their job's zone, by its other tasks' zone, or because the other zones hold as
     /// many of its tasks as they may.
@@ -195,23 +275,31 @@
     catalog: &[ClassInfo],
     rec: &JobRec,
     closed: &[Closed],
+    slow: &mut SlowPools,
     tasks: u32,
     counts: &mut BTreeMap<Pool, PoolCount>,
 ) {
     let mut left = f64::from(tasks);
-    let last = pool_for(catalog, rec, closed);
+    let urgent = rec.rank > Rank::Normal;
+    let in_time = |pool: &Pool| !slow.slow(pool, urgent);
+    let last = open_pool(catalog, rec, closed, in_time).or(pool_for(catalog, rec, closed));
     for pool in pools_for(catalog, rec) {
         let Some(c) = counts.get_mut(&pool).filter(|_| left > 0.0) else {
             continue;
         };
         let per = per_machine(&catalog[pool.0], rec.need);
-        let coming = f64::from(c.provisioned - c.busy) - c.queued;
+        let late = slow.late.get(&pool).filter(|_| urgent);
+        let empty = f64::from(c.provisioned - c.busy) - c.queued;
+        let coming = empty - f64::from(late.copied().unwrap_or(0));
         let here = if Some(pool) == last {
             left
         } else {
             left.min((coming.max(0.0) * per).floor())
         };
         c.queued += here / per;
+        if urgent {
+            *slow.urgent_waiting.entry(pool).or_default() += here / per;
+        }
         c.urgent |= here > 0.0 && rec.form == Form::Service;
         left -= here;
         if Some(pool) == last {
@@ -223,6 +311,17 @@
 /// The pool on which a task counts: the smallest type that fits, spot where the
 /// job may use it. Where the cloud has nothing left, the next one.
 pub(crate) fn pool_for(catalog: &[ClassInfo], rec: &JobRec, closed: &[Closed]) -> Option<Pool> {
+    let first = || pools_for(catalog, rec).first().copied();
+    open_pool(catalog, rec, closed, |_| true).or_else(first)
+}
+
+/// The first of a task's pools of which the cloud has machines left and that `passes` lets pass.
+fn open_pool(
+    catalog: &[ClassInfo],
+    rec: &JobRec,
+    closed: &[Closed],
+    passes: impl Fn(&Pool) -> bool,
+) -> Option<Pool> {
     let pools = pools_for(catalog, rec);
     let open = |pool: &&Pool| {
         let name = &catalog[pool.0].name;
@@ -236,7 +335,8 @@
                 .any(|c| c.0 == *name && c.1 == *z && c.2 == pool.1)
         })
     };
-    pools.iter().find(open).or(pools.first()).copied()
+    let mut pools = pools.iter().filter(|pool| passes(pool));
+    pools.find(open).copied()
 }
 
 /// The pools that a task may use, in the order in which it counts on them.
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -33,6 +33,8 @@
     pub fast_until: u64,
     /// How many times as long boots take that begin until then.
     pub slow: (f64, u64),
+    /// The only type of which they do.
+    pub slow_type: Option<String>,
 }
 
 impl Cloud {
@@ -80,7 +82,8 @@
                 let fast = now < self.fast_until;
                 let usual = ready.map_or(1000, |c| (c.ready_s * 1000.0) as u64);
                 let (times, until) = self.slow;
-                let usual = if now < until {
+                let slow = self.slow_type.as_ref().is_none_or(|t| *t == h.class);
+                let usual = if slow && now < until {
                     (usual as f64 * times) as u64
                 } else {
                     usual
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -847,7 +847,10 @@
                 self.troubles.close_looks = until;
                 self.troubles.cancel_at_once = (num(args, "cancel", 0.0), until);
             }
-            "slow-boots" => self.cloud.slow = (num(args, "times", 4.0), until),
+            "slow-boots" => {
+                self.cloud.slow = (num(args, "times", 4.0), until);
+                self.cloud.slow_type = arg(args, "type").map(String::from);
+            }
             "fast-boots" => self.cloud.fast_until = until,
             "odd" => {
                 self.troubles.odd = until;
