--- a/src/core/autoscaler/demand.rs
+++ b/src/core/autoscaler/demand.rs
@@ -124,7 +124,7 @@
     /// The pools whose machines come late.
     fn slow_pools(&self, catalog: &[ClassInfo], overdue: f64, now: Time) -> SlowPools {
         let mut booting: BTreeMap<Pool, (u32, u32, u32)> = BTreeMap::new();
-        for (_, m) in self.machines.unborn() {
+        for (_, m) in self.machines.booting() {
             let count = booting.entry((m.class, m.spot)).or_default();
             let late = self.boots_longer_than(LATE_BOOTS, catalog, m, now);
             let overdue = self.boots_longer_than(overdue, catalog, m, now);
--- a/src/core/autoscaler/machines.rs
+++ b/src/core/autoscaler/machines.rs
@@ -14,7 +14,7 @@
 /// A boot of a type that isn't in the catalogue.
 const UNKNOWN_BOOT_S: f64 = 60.0;
 /// After how many times the time in which it is overdue a machine never comes up.
-const NEVER: f64 = 2.0;
+const ABANDONED_AFTER: f64 = 2.0;
 
 impl Core {
     /// The leader lists machines to find those nobody expected; with several blocks,
@@ -66,13 +66,13 @@
     /// Machines that never come up are paid for until they are deleted. That is long after
     /// they were replaced: on a night on which all boots took several times as long, each was
     /// deleted shortly before it was up, and rented anew.
-    pub(crate) fn doom_unborn(&mut self) {
+    pub(crate) fn delete_abandoned(&mut self) {
         let (now, boot) = (self.now, self.settings.tuning.boot);
         let Some(h) = &mut self.holder else {
             return;
         };
-        let never = |m: &Machine| now.since(m.since) > NEVER * h.overdue_s(&self.catalog, m, boot);
-        let never = h.machines.unborn().filter(|(_, m)| never(m));
+        let never = |m: &Machine| now.since(m.since) > ABANDONED_AFTER * h.overdue_s(&self.catalog, m, boot);
+        let never = h.machines.booting().filter(|(_, m)| never(m));
         let never: Vec<MachineId> = never.map(|(id, _)| id.clone()).collect();
         for id in never {
             h.doom(now, &id, "it never came up");
@@ -188,7 +188,7 @@
     fn miss_listed(&mut self, now: Time, settled_s: f64, listed: &BTreeSet<&str>) {
         let since = self.since;
         let unseen = |m: &Machine| now.since(m.since.max(since)) > settled_s;
-        let missing = self.machines.unborn();
+        let missing = self.machines.booting();
         let missing = missing.filter(|(id, m)| unseen(m) && !listed.contains(id.as_str()));
         let missing: Vec<MachineId> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
--- a/src/core/autoscaler/mod.rs
+++ b/src/core/autoscaler/mod.rs
@@ -32,21 +32,21 @@
 /// Pause before a rental without an answer is repeated.
 const REPEAT_S: f64 = 2.0;
 /// Counts are told to the leader this often, as a share of its tick.
-const TALLY_SHARE: f64 = 0.2;
+const COUNTS_SHARE: f64 = 0.2;
 
 impl Core {
-    pub(crate) fn catalog_chores(&mut self) {
+    pub(crate) fn catalog_housekeeping(&mut self) {
         if self.catalog.is_empty() && self.now >= self.catalog_retry {
             self.catalog_retry = self.now.after(REPEAT_S);
             self.cloud_call(CloudOp::Catalog, CloudPurpose::Catalog, Priority::First);
         }
     }
 
-    pub(crate) fn lead_chores(&mut self) {
-        if self.now >= self.tally_at {
-            self.tally_at = self.now.after(self.settings.tuning.tick_s * TALLY_SHARE);
-            self.tally_chores();
-            self.lease_chores();
+    pub(crate) fn lead_housekeeping(&mut self) {
+        if self.now >= self.counts_at {
+            self.counts_at = self.now.after(self.settings.tuning.tick_s * COUNTS_SHARE);
+            self.send_counts();
+            self.lease_housekeeping();
         }
         if self.catalog.is_empty() {
             return;
--- a/src/core/autoscaler/rentals.rs
+++ b/src/core/autoscaler/rentals.rs
@@ -122,7 +122,7 @@
         for id in rigs {
             self.add_stray((id, rec.class.clone(), rec.zone.clone(), rec.spot));
         }
-        self.lease_chores();
+        self.lease_housekeeping();
     }
 }
 
--- a/src/core/autoscaler/tick.rs
+++ b/src/core/autoscaler/tick.rs
@@ -29,7 +29,7 @@
             .iter()
             .any(|rental| rental.step != RentalStep::Answered);
         let blocks = self.cache.blocks.len();
-        if s.ready.is_none() && s.listed && !unanswered && lead.tallies.len() >= blocks {
+        if s.ready.is_none() && s.listed && !unanswered && lead.block_counts.len() >= blocks {
             s.ready = Some(now);
             s.tick_at = now;
             info!("counts are rebuilt");
@@ -38,7 +38,7 @@
             return;
         };
         lead.scale.tick_at = now.after(self.settings.tuning.tick_s);
-        self.tally_chores();
+        self.send_counts();
         let fleet = self.count_fleet();
         let Some(lead) = &mut self.lead else {
             return;
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Lead {
     pub(crate) scale: Scale,
     /// The latest counts of each block, and when they came.
-    pub(crate) tallies: BTreeMap<u32, (Tally, Time)>,
+    pub(crate) block_counts: BTreeMap<u32, (BlockCounts, Time)>,
     /// Machines that each block lacks, by type and kind.
     pub(crate) needs: BTreeMap<(String, bool, u32), u32>,
     /// Machines that belong to no block yet.
@@ -110,7 +110,7 @@
         if total == 0 {
             return 0;
         }
-        let mut at = spread(id.as_str()) % total;
+        let mut at = stable_hash(id.as_str()) % total;
         for (block, n) in shares {
             if at < u64::from(*n) {
                 return *block;
@@ -123,21 +123,21 @@
     // ---- counts
 
     /// Tells the leader what the block in hand counts.
-    fn say_tally(&mut self) {
-        let Some(tally) = self.tally() else {
+    fn send_block_counts(&mut self) {
+        let Some(block_counts) = self.block_counts() else {
             return;
         };
         if self.lead.is_some() {
-            return self.on_tally(tally);
+            return self.on_block_counts(block_counts);
         }
         let leader = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
         if leader.is_some() {
-            let message = Message::Tally(Box::new(tally));
+            let message = Message::BlockCounts(Box::new(block_counts));
             self.out.push(Output::Peer(leader, message));
         }
     }
 
-    fn tally(&self) -> Option<Tally> {
+    fn block_counts(&self) -> Option<BlockCounts> {
         let h = self.holder.as_ref()?;
         let catalog = &self.catalog;
         let closed = self.cache.closed();
@@ -162,7 +162,7 @@
         empty.sort();
         let empty = empty.into_iter().map(|(_, e)| e).take(NAMES_MAX);
         let zones = zones.into_iter().map(|((c, s, z), n)| (c, s, z, n));
-        Some(Tally {
+        Some(BlockCounts {
             from: self.settings.platform.member.clone(),
             block: h.block,
             number: h.number,
@@ -176,23 +176,23 @@
         })
     }
 
-    pub(crate) fn on_tally(&mut self, tally: Tally) {
+    pub(crate) fn on_block_counts(&mut self, block_counts: BlockCounts) {
         let now = self.now;
         if let Some(lead) = &mut self.lead {
             lead.gone.retain(|_, at| now.since(*at) < GONE_S);
             lead.gone
-                .extend(tally.gone.iter().map(|id| (id.clone(), now)));
-            lead.tallies.insert(tally.block, (tally, now));
+                .extend(block_counts.gone.iter().map(|id| (id.clone(), now)));
+            lead.block_counts.insert(block_counts.block, (block_counts, now));
         }
     }
 
     /// Counts that are believed: of the present holder, and not too old.
-    pub(crate) fn believed(&self) -> Vec<&Tally> {
+    pub(crate) fn believed(&self) -> Vec<&BlockCounts> {
         let stale = self.settings.tuning.tick_s * STALE_TICKS;
         let Some(lead) = &self.lead else {
             return Vec::new();
         };
-        let all = lead.tallies.values();
+        let all = lead.block_counts.values();
         let good = all.filter(|(t, at)| {
             let rec = self.cache.blocks.get(&t.block).and_then(|b| b.rec.as_ref());
             rec.is_some_and(|b| b.number == t.number) && self.now.since(*at) < stale
@@ -225,12 +225,12 @@
         }
     }
 
-    pub(crate) fn tally_chores(&mut self) {
-        self.each_block(Self::say_tally);
+    pub(crate) fn send_counts(&mut self) {
+        self.each_block(Self::send_block_counts);
     }
 
     /// Commits what has to change about the leases, all at once.
-    pub(crate) fn lease_chores(&mut self) {
+    pub(crate) fn lease_housekeeping(&mut self) {
         let Some(lead) = &self.lead else {
             return;
         };
@@ -307,7 +307,7 @@
             *load.entry(b.holder.clone()).or_default() += 1;
         }
         for (block, rec) in recs.iter_mut() {
-            let told = lead.tallies.get(block);
+            let told = lead.block_counts.get(block);
             let told = told
                 .filter(|(t, _)| t.number == rec.number)
                 .map(|(_, at)| *at);
@@ -454,8 +454,8 @@
         let marks = self.cache.blocks.iter();
         let marks: BTreeMap<u32, u64> = marks.map(|(k, b)| (*k, b.mark)).collect();
         let all = self.believed();
-        let current = |t: &&&Tally| marks.get(&t.block) == Some(&t.mark);
-        let told: BTreeMap<u32, &Tally> =
+        let current = |t: &&&BlockCounts| marks.get(&t.block) == Some(&t.mark);
+        let told: BTreeMap<u32, &BlockCounts> =
             all.iter().filter(current).map(|t| (t.block, *t)).collect();
         if recs.keys().any(|k| !told.contains_key(k)) {
             return;
@@ -464,7 +464,7 @@
         let turns = (self.now.since(Time(0)) / lease_s) as usize % recs.len();
         let turn = recs.keys().nth(turns).copied().unwrap_or(0);
         for (team, limit) in self.whole_limits() {
-            let count = |t: &Tally| {
+            let count = |t: &BlockCounts| {
                 let found = t.teams.iter().find(|(name, _)| *name == team);
                 found.map(|(_, c)| *c).unwrap_or_default()
             };
@@ -569,7 +569,7 @@
 }
 
 /// A number from a name, the same everywhere (FNV-1a).
-pub(crate) fn spread(name: &str) -> u64 {
+pub(crate) fn stable_hash(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| {
         (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
     })
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -35,7 +35,7 @@
 const REST: f64 = 4.0;
 
 impl Core {
-    pub(crate) fn election_chores(&mut self) {
+    pub(crate) fn election_housekeeping(&mut self) {
         if self.lead.is_some() {
             self.extend();
         } else {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -178,7 +178,7 @@
         Filed {
             open: self.open().then(|| self.shelf()),
             leaving: self.doomed.is_some() || self.notice.is_some(),
-            unborn: self.up.is_none() && self.doomed.is_none(),
+            booting: self.up.is_none() && self.doomed.is_none(),
         }
     }
 
@@ -240,7 +240,7 @@
     /// Its shelf, the free part of it, and the lowest rank of its tasks.
     open: Option<(Shelf, u64, Option<Rank>)>,
     leaving: bool,
-    unborn: bool,
+    booting: bool,
 }
 
 #[derive(Debug, Default)]
@@ -251,7 +251,7 @@
     /// Free parts of open machines, by type and kind.
     free: BTreeMap<(usize, bool), u64>,
     leaving: BTreeSet<MachineId>,
-    unborn: BTreeSet<MachineId>,
+    booting: BTreeSet<MachineId>,
 }
 
 impl Index {
@@ -278,8 +278,8 @@
         if new.leaving {
             self.leaving.insert(id.clone());
         }
-        if new.unborn {
-            self.unborn.insert(id.clone());
+        if new.booting {
+            self.booting.insert(id.clone());
         }
     }
 
@@ -295,7 +295,7 @@
             drop_from(&mut self.shelves, shelf, id);
         }
         self.leaving.remove(id);
-        self.unborn.remove(id);
+        self.booting.remove(id);
     }
 }
 
@@ -410,8 +410,8 @@
     }
 
     /// Machines that haven't come up yet.
-    pub(crate) fn unborn(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
-        let ids = self.index.unborn.iter();
+    pub(crate) fn booting(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        let ids = self.index.booting.iter();
         ids.filter_map(|id| Some((id, self.all.get(id)?)))
     }
 
@@ -432,7 +432,7 @@
             && again.ranked == self.index.ranked
             && again.free == free
             && again.leaving == self.index.leaving
-            && again.unborn == self.index.unborn;
+            && again.booting == self.index.booting;
         same.then_some(())
             .ok_or_else(|| "the indexes differ from a recount".into())
     }
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -17,7 +17,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Wish {
+pub(crate) enum Intent {
     /// The present state.
     Poll,
     /// The present state of a job that seems to have been submitted before; when it
@@ -33,7 +33,7 @@
 pub(crate) struct Question {
     req: ReqId,
     id: JobId,
-    wish: Wish,
+    intent: Intent,
     asked: Time,
     /// The last call sent before it was asked. Only the answer to a later one is news of
     /// a moment after it; clocks can't tell, since a millisecond holds both.
@@ -93,18 +93,18 @@
 }
 
 impl Core {
-    pub(crate) fn on_ask(&mut self, req: ReqId, ask: Ask) {
+    pub(crate) fn on_request(&mut self, req: ReqId, ask: Request) {
         match ask {
-            Ask::Up => self.on_up(req),
-            Ask::Report(report) => self.on_report(req, report),
-            Ask::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
-            Ask::Submit(Err(bad)) => self.on_malformed(req, bad),
-            Ask::Poll(id) => self.on_question(req, id, Wish::Poll),
-            Ask::Withdraw(id) => self.on_question(req, id, Wish::Withdraw),
+            Request::Up => self.on_up(req),
+            Request::Report(report) => self.on_report(req, report),
+            Request::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
+            Request::Submit(Err(bad)) => self.on_malformed(req, bad),
+            Request::Poll(id) => self.on_question(req, id, Intent::Poll),
+            Request::Withdraw(id) => self.on_question(req, id, Intent::Withdraw),
         }
     }
 
-    pub(crate) fn on_hangup(&mut self, req: ReqId) {
+    pub(crate) fn on_disconnect(&mut self, req: ReqId) {
         self.forget_report(req);
         for h in self.parked.values_mut() {
             h.forget_request(req);
@@ -129,14 +129,14 @@
     fn on_malformed(&mut self, req: ReqId, bad: BadBody) {
         info!("a submission is malformed: {}", bad.why);
         match bad.id {
-            Some(id) => self.on_question(req, id, Wish::Refuse(400, bad.why)),
+            Some(id) => self.on_question(req, id, Intent::Refuse(400, bad.why)),
             None => self.answer(req, Reply::ok(400, error_body(&bad.why))),
         }
     }
 
     fn on_submit(&mut self, req: ReqId, id: JobId, mut rec: JobRec) {
         if self.cache.ending(&id).is_some() || self.cache.jobs.contains_key(&id) {
-            return self.on_question(req, id, Wish::Again);
+            return self.on_question(req, id, Intent::Again);
         }
         if self.blind() {
             return self.answer(
@@ -148,7 +148,7 @@
             return self.answer(req, Reply::later(503, 2, "machine types aren't known yet"));
         }
         if let Some(why) = self.never_runs(&rec) {
-            return self.on_question(req, id, Wish::Refuse(422, why));
+            return self.on_question(req, id, Intent::Refuse(422, why));
         }
         rec.chunk = self.chunk_size();
         rec.block = self.block_for(&id);
@@ -203,7 +203,7 @@
         None
     }
 
-    fn on_question(&mut self, req: ReqId, id: JobId, wish: Wish) {
+    fn on_question(&mut self, req: ReqId, id: JobId, intent: Intent) {
         if let Some(ending) = self.cache.ending(&id) {
             return self.answer_ending(req, &id, ending);
         }
@@ -211,13 +211,13 @@
             return self.answer(req, Reply::later(503, 1, "present state isn't known"));
         }
         let after = self.last_call();
-        if wish != Wish::Poll {
+        if intent != Intent::Poll {
             self.front.urgent = Some(after);
         }
         let question = Question {
             req,
             id,
-            wish,
+            intent,
             asked: self.now,
             after,
         };
@@ -284,7 +284,7 @@
             self.front.unknown.push_back(q);
             return;
         };
-        if q.wish == Wish::Withdraw {
+        if q.intent == Intent::Withdraw {
             match job.withdrawn {
                 None => self.front.withdrawals.push_back(q),
                 Some(_) => self.front.leaving.push_back(q),
@@ -371,7 +371,7 @@
     }
 
     pub(crate) fn on_end_read(&mut self, q: Question, reply: StateReply) {
-        match (reply, &q.wish) {
+        match (reply, &q.intent) {
             (StateReply::Found { record, .. }, _) => {
                 if let Record::End(ending) = record {
                     self.cache.remember(self.now, q.id.clone(), ending);
@@ -383,11 +383,11 @@
                 let after = self.last_call();
                 self.front.questions.push_back(Question { after, ..q });
             }
-            (StateReply::Missing { .. }, Wish::Refuse(status, why)) => {
+            (StateReply::Missing { .. }, Intent::Refuse(status, why)) => {
                 let body = error_body(why);
                 self.answer(q.req, Reply::ok(*status, body));
             }
-            (StateReply::Missing { .. }, Wish::Poll | Wish::Withdraw) => {
+            (StateReply::Missing { .. }, Intent::Poll | Intent::Withdraw) => {
                 self.answer(q.req, Reply::ok(404, error_body("no such job")));
             }
             _ => self.answer(q.req, Reply::later(503, 1, "present state isn't known")),
@@ -431,7 +431,7 @@
         for s in list {
             match &reply {
                 // Its user may have asked elsewhere meanwhile, and been told more.
-                StateReply::Committed { .. } if late => self.on_question(s.req, s.id, Wish::Again),
+                StateReply::Committed { .. } if late => self.on_question(s.req, s.id, Intent::Again),
                 StateReply::Committed { .. } => {
                     info!("job {} accepted: {} of {}", s.id, s.rec.count, s.rec.class);
                     let body = stance_body(&s.id, Stance::Queued, 0, 0);
@@ -441,7 +441,7 @@
                     let key =
                         |k: &Key| *k == Key::Job(s.id.clone()) || *k == Key::End(s.id.clone());
                     if failed.iter().any(key) || failed.is_empty() {
-                        self.on_question(s.req, s.id, Wish::Again);
+                        self.on_question(s.req, s.id, Intent::Again);
                     } else {
                         self.front.submissions.push_back(s);
                     }
@@ -482,11 +482,11 @@
         let here = *holder == self.settings.platform.member;
         let chunks = self.cache.chunks(id);
         let mut placed = chunks.flat_map(|(_, (_, run))| &run.placed);
-        !(here || self.lively(holder)) || placed.any(|(_, _, machine, _)| overdue.contains(machine))
+        !(here || self.heartbeat_fresh(holder)) || placed.any(|(_, _, machine, _)| overdue.contains(machine))
     }
 
     /// Gives up what can't be answered in time. The answer goes out at once.
-    pub(crate) fn front_chores(&mut self) {
+    pub(crate) fn front_housekeeping(&mut self) {
         let (now, mut late) = (self.now, self.stuck_departures());
         let leave_s = self.settings.leave_s();
         let f = &mut self.front;
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -43,7 +43,7 @@
 
 /// A job of the block.
 #[derive(Debug)]
-pub struct Live {
+pub struct JobState {
     pub rec: Rc<JobRec>,
     pub mark: u64,
     /// Order of arrival: the revision of its acceptance.
@@ -132,7 +132,7 @@
 
 /// What is known of an image that services use.
 #[derive(Debug)]
-pub(crate) struct Ware {
+pub(crate) struct ImageDemand {
     pub(crate) class: String,
     pub(crate) gb: f64,
     /// What a task of the job that used it last takes.
@@ -145,9 +145,9 @@
 /// Half of the jobs that came so long ago are forgotten.
 const USE_HALF_S: f64 = 300.0;
 /// Most images remembered; the least used are forgotten first.
-const WARES_MAX: usize = 256;
+const IMAGES_MAX: usize = 256;
 
-impl Ware {
+impl ImageDemand {
     /// How much it is asked for now.
     pub(crate) fn asked(&self, now: Time) -> f64 {
         faded(self.uses, now.since(self.at), USE_HALF_S)
@@ -157,7 +157,7 @@
 /// How services' demand for a pool comes: the squares of the jobs' sizes, in machines,
 /// older ones counting less.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Bursts {
+pub(crate) struct BurstEstimate {
     squares: f64,
     at: Time,
 }
@@ -172,7 +172,7 @@
 /// How many boot times a service is taken to run, where only those that run now are known.
 const LIFE: f64 = 5.0;
 
-impl Bursts {
+impl BurstEstimate {
     fn faded(&self, now: Time, boot_s: f64) -> f64 {
         faded(self.squares, now.since(self.at), BURST_HALF * boot_s)
     }
@@ -215,17 +215,17 @@
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
     pub(crate) count: u64,
-    pub jobs: BTreeMap<JobId, Live>,
+    pub jobs: BTreeMap<JobId, JobState>,
     pub machines: Fleet,
     pub(crate) teams: HashMap<String, Room>,
     /// How services' demand for each pool comes.
-    pub(crate) bursts: BTreeMap<Pool, Bursts>,
+    pub(crate) bursts: BTreeMap<Pool, BurstEstimate>,
     /// What failed, and whom it speaks against.
     pub(crate) failures: FailureLog,
     /// How long machines of each type have taken to boot lately.
     pub(crate) boots: BTreeMap<usize, f64>,
     /// Images of services.
-    pub(crate) wares: HashMap<Image, Ware>,
+    pub(crate) images: HashMap<Image, ImageDemand>,
     /// Jobs with queued tasks.
     pub(crate) waiting: BTreeSet<JobId>,
     pub(crate) place_wanted: bool,
@@ -236,7 +236,7 @@
     pub(crate) flushing: usize,
     /// Jobs whose last record is to be written: all done, or withdrawn and gone.
     pub(crate) to_finish: BTreeSet<JobId>,
-    pub(crate) orphans: Vec<(JobId, u32)>,
+    pub(crate) leftover_chunks: Vec<(JobId, u32)>,
     pub(crate) cleaning: bool,
     /// When held answers must go out.
     pub(crate) releases: BTreeSet<(Time, MachineId)>,
@@ -273,7 +273,7 @@
             bursts: BTreeMap::new(),
             failures: FailureLog::default(),
             boots: BTreeMap::new(),
-            wares: HashMap::new(),
+            images: HashMap::new(),
             waiting: BTreeSet::new(),
             place_wanted: true,
             place_at: now,
@@ -281,7 +281,7 @@
             to_flush: BTreeSet::new(),
             flushing: 0,
             to_finish: BTreeSet::new(),
-            orphans: Vec::new(),
+            leftover_chunks: Vec::new(),
             cleaning: false,
             releases: BTreeSet::new(),
             gone: BTreeMap::new(),
@@ -366,7 +366,7 @@
                 *squares.entry(pool).or_default() += size * size;
             }
         }
-        let guess = |(pool, sum)| (pool, Bursts::of_running(now, sum));
+        let guess = |(pool, sum)| (pool, BurstEstimate::of_running(now, sum));
         self.bursts = squares.into_iter().map(guess).collect();
     }
 
@@ -393,24 +393,24 @@
     }
 
     /// Takes note of the image that a service comes with.
-    fn note_ware(&mut self, now: Time, rec: &JobRec) {
+    fn note_image(&mut self, now: Time, rec: &JobRec) {
         if rec.form != Form::Service {
             return;
         }
-        let known = self.wares.get(&rec.image);
-        let ware = Ware {
+        let known = self.images.get(&rec.image);
+        let demand = ImageDemand {
             class: rec.class.clone(),
             gb: rec.image_gb,
             need: rec.need,
             uses: 1.0 + known.map_or(0.0, |w| w.asked(now)),
             at: now,
         };
-        self.wares.insert(rec.image.clone(), ware);
-        if self.wares.len() > WARES_MAX {
-            let all = self.wares.iter();
+        self.images.insert(rec.image.clone(), demand);
+        if self.images.len() > IMAGES_MAX {
+            let all = self.images.iter();
             let least = all.min_by(|a, b| a.1.asked(now).total_cmp(&b.1.asked(now)));
             if let Some(image) = least.map(|(image, _)| image.clone()) {
-                self.wares.remove(&image);
+                self.images.remove(&image);
             }
         }
     }
@@ -530,7 +530,7 @@
     }
 
     /// The present content of a chunk's record.
-    fn run_rec(&self, job: &JobId, live: &Live, chunk: u32) -> RunRec {
+    fn run_rec(&self, job: &JobId, live: &JobState, chunk: u32) -> RunRec {
         let size = live.rec.chunk.max(1);
         let (from, to) = (chunk * size, ((chunk + 1) * size).min(live.rec.count));
         let (failed_tries, failed_on) = self.failures.of_job(job);
@@ -556,7 +556,7 @@
     }
 }
 
-impl Live {
+impl JobState {
     fn new(job: &jobs::CachedJob, now: Time) -> Self {
         Self {
             rec: job.rec.clone(),
@@ -616,16 +616,16 @@
             self.holder_job(&id);
         }
         let jobs = &self.cache.jobs;
-        let orphans = self
+        let leftover_chunks = self
             .cache
             .runs
             .keys()
             .filter(|(id, _)| !jobs.contains_key(id));
-        let orphans: Vec<_> = orphans.cloned().collect();
+        let leftover_chunks: Vec<_> = leftover_chunks.cloned().collect();
         if let Some(h) = &mut self.holder {
             // Chunks without a job belong to no block; the first one's holder clears
             // them away.
-            h.orphans = if block == 0 { orphans } else { Vec::new() };
+            h.leftover_chunks = if block == 0 { leftover_chunks } else { Vec::new() };
             h.guess_demand(self.now, &self.catalog, self.cache.closed());
             info!("took over {} jobs of block {block}", h.jobs.len());
         }
@@ -648,7 +648,7 @@
             }
             return;
         }
-        let mut live = Live::new(job, now);
+        let mut live = JobState::new(job, now);
         let mut doubts = Vec::new();
         for (chunk, (mark, run)) in self.cache.chunks(id) {
             let entry = live.chunks.entry(chunk).or_default();
@@ -667,7 +667,7 @@
         let withdrawn = live.withdrawn.is_some();
         let closed = self.cache.closed();
         h.note_demand(now, &self.catalog, closed, &job.rec);
-        h.note_ware(now, &job.rec);
+        h.note_image(now, &job.rec);
         h.jobs.insert(id.clone(), live);
         for (index, attempt, machine, zone) in doubts {
             if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
@@ -715,7 +715,7 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        h.orphans.extend(leftover);
+        h.leftover_chunks.extend(leftover);
         let Some(live) = h.jobs.get(id) else {
             return;
         };
@@ -973,11 +973,11 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        if h.cleaning || h.orphans.is_empty() {
+        if h.cleaning || h.leftover_chunks.is_empty() {
             return;
         }
-        let n = h.orphans.len().min(ops);
-        let list: Vec<_> = h.orphans.drain(..n).collect();
+        let n = h.leftover_chunks.len().min(ops);
+        let list: Vec<_> = h.leftover_chunks.drain(..n).collect();
         let writes = list.iter().map(|(job, chunk)| Write::Delete {
             key: Key::Run(job.clone(), *chunk),
         });
@@ -997,7 +997,7 @@
         if let Some(h) = &mut self.holder {
             h.cleaning = false;
             if !matches!(reply, StateReply::Committed { .. }) {
-                h.orphans.extend(list);
+                h.leftover_chunks.extend(list);
             }
         }
     }
@@ -1018,7 +1018,7 @@
 }
 
 /// Marks committed placements; returns their machines.
-fn make_ready(now: Time, live: &mut Live, placed: &[(u32, Attempt)]) -> Vec<MachineId> {
+fn make_ready(now: Time, live: &mut JobState, placed: &[(u32, Attempt)]) -> Vec<MachineId> {
     let mut machines = Vec::new();
     for (index, attempt) in placed {
         if let Some(p) = live.placed.get_mut(index)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,7 +19,7 @@
 mod workers;
 
 use crate::ids::*;
-use crate::peer::{Hello, Message, Tally};
+use crate::peer::{Hello, Message, BlockCounts};
 use crate::settings::Settings;
 use crate::wire::*;
 use blocks::Lead;
@@ -38,7 +38,7 @@
 pub struct CallId(pub u64);
 
 #[derive(Debug)]
-pub enum Ask {
+pub enum Request {
     Submit(Result<(JobId, JobRec), BadBody>),
     Poll(JobId),
     Withdraw(JobId),
@@ -48,9 +48,9 @@
 
 #[derive(Debug)]
 pub enum Input {
-    Ask(ReqId, Ask),
+    Request(ReqId, Request),
     /// Whoever asked has gone.
-    Hangup(ReqId),
+    Disconnect(ReqId),
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
     Peer(Message),
@@ -162,7 +162,7 @@
 pub(crate) type Tenure = Option<(u32, Number)>;
 
 /// How often work that nothing else triggers is looked at.
-const CHORES_MS: u64 = 100;
+const HOUSEKEEPING_MS: u64 = 100;
 /// Shortest pause between two reads of the present revision, and the share of its requests
 /// that a controller reads it with for users who ask. With that and the follow's share, some
 /// are left for submissions and cancellations however often users ask.
@@ -177,7 +177,7 @@
 /// A controller has heard workers lately if one reported within this time.
 const HEARD_S: f64 = 3.0;
 /// Siblings say hello every second; one that has missed two is taken to be down.
-const LIVELY_S: f64 = 2.2;
+const HEARTBEAT_LOST_S: f64 = 2.2;
 /// Margin for the time a message takes and for late timers.
 const MARGIN_S: f64 = 2.0;
 /// Steady clocks drift apart by at most this share.
@@ -249,14 +249,14 @@
     siblings: BTreeMap<Member, (Hello, Time)>,
     hello_at: Time,
     relays: relay::Relays,
-    tally_at: Time,
+    counts_at: Time,
     listing: bool,
     list_at: Time,
     /// The revision of the plan that was carried out here.
     plan_seen: u64,
     /// When a worker last reported here.
     worker_heard: Time,
-    chores_at: Time,
+    housekeeping_at: Time,
     /// Machines looked at to place tasks, in all, and tasks placed.
     pub(crate) looked: u64,
     pub(crate) placed: u64,
@@ -302,12 +302,12 @@
             siblings: BTreeMap::new(),
             hello_at: Time(0),
             relays: relay::Relays::default(),
-            tally_at: Time(0),
+            counts_at: Time(0),
             listing: false,
             list_at: Time(0),
             plan_seen: 0,
             worker_heard: Time(0),
-            chores_at: Time(0),
+            housekeeping_at: Time(0),
             looked: 0,
             placed: 0,
         };
@@ -320,20 +320,20 @@
         self.now = self.now.max(now);
         self.note_start();
         match input {
-            Input::Ask(req, ask) => self.on_ask(req, ask),
-            Input::Hangup(req) => self.on_hangup(req),
+            Input::Request(req, ask) => self.on_request(req, ask),
+            Input::Disconnect(req) => self.on_disconnect(req),
             Input::State(call, reply) => self.on_state(call, reply),
             Input::Cloud(call, reply) => self.on_cloud(call, reply),
             Input::Peer(Message::Hello(hello)) => self.on_hello(hello),
-            Input::Peer(Message::Tally(tally)) => self.on_tally(*tally),
-            Input::Peer(Message::Beat(beat)) => self.on_beat(*beat),
-            Input::Peer(Message::BeatAnswer(answer)) => self.on_beat_answer(answer),
+            Input::Peer(Message::BlockCounts(block_counts)) => self.on_block_counts(*block_counts),
+            Input::Peer(Message::RelayedReport(relayed)) => self.on_relayed_report(*relayed),
+            Input::Peer(Message::RelayedAnswer(answer)) => self.on_relayed_answer(answer),
             Input::Link(member, link) => self.on_link(member, link),
             Input::Tick => {}
         }
-        if self.now >= self.chores_at {
-            self.chores_at = Time(self.now.0 + CHORES_MS);
-            self.chores();
+        if self.now >= self.housekeeping_at {
+            self.housekeeping_at = Time(self.now.0 + HOUSEKEEPING_MS);
+            self.housekeeping();
         }
         self.each_block(Self::release_reports);
         self.tell_endings();
@@ -345,7 +345,7 @@
     pub fn wake_at(&self) -> Time {
         let held = self.parked.values().filter_map(Holder::first_release);
         let due = held.chain(self.front.first_telling()).min();
-        due.map_or(self.chores_at, |t| t.min(self.chores_at))
+        due.map_or(self.housekeeping_at, |t| t.min(self.housekeeping_at))
     }
 
     /// The highest number under which this controller holds a block.
@@ -402,14 +402,14 @@
         }
     }
 
-    fn chores(&mut self) {
-        self.sync_chores();
-        self.front_chores();
-        self.election_chores();
-        self.relay_chores();
-        self.each_block(Self::holder_chores);
-        self.catalog_chores();
-        self.lead_chores();
+    fn housekeeping(&mut self) {
+        self.sync_housekeeping();
+        self.front_housekeeping();
+        self.election_housekeeping();
+        self.relay_housekeeping();
+        self.each_block(Self::holder_housekeeping);
+        self.catalog_housekeeping();
+        self.lead_housekeeping();
         if self.now >= self.hello_at {
             self.hello_at = self.now.after(1.0);
             self.say_hello();
@@ -562,7 +562,7 @@
 
     // ---- following
 
-    fn sync_chores(&mut self) {
+    fn sync_housekeeping(&mut self) {
         match self.sync {
             Sync::Idle { retry_at } if self.now >= retry_at => {
                 self.sync = Sync::Listing {
@@ -875,13 +875,13 @@
     /// it loses 5 s of its lease. A new holder has none to lose yet.
     pub(crate) fn reachable(&self, member: &Member) -> bool {
         let deaf = self.siblings.get(member).is_some_and(|(h, _)| h.deaf);
-        !deaf && self.lively(member)
+        !deaf && self.heartbeat_fresh(member)
     }
 
     /// Whether a sibling was heard of so lately that it surely runs.
-    pub(crate) fn lively(&self, member: &Member) -> bool {
+    pub(crate) fn heartbeat_fresh(&self, member: &Member) -> bool {
         let heard = self.siblings.get(member).map(|(_, at)| *at);
-        heard.is_some_and(|at| self.now.since(at) < LIVELY_S)
+        heard.is_some_and(|at| self.now.since(at) < HEARTBEAT_LOST_S)
     }
 
     /// Whether workers report to a sibling that could lead.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -2,7 +2,7 @@
 
 use super::failures::FailureLog;
 use super::fleet::Machine;
-use super::holder::{Live, Phase, Placement, WriteUrgency};
+use super::holder::{JobState, Phase, Placement, WriteUrgency};
 use super::*;
 use log::debug;
 use std::cmp::Ordering;
@@ -76,7 +76,7 @@
         }
         turns.sort();
         let mut round = Round {
-            wares: ready_wares(h, &self.catalog, &self.settings, now),
+            images: ready_images(h, &self.catalog, &self.settings, now),
             full: full_pools(h, &self.catalog, self.settings.tuning.headroom, now),
             left: ROUND_MAX,
             failed: Vec::new(),
@@ -110,7 +110,7 @@
         if round.failed.iter().any(|f| same_demand(f, &rec)) {
             return true;
         }
-        let desk = Desk {
+        let context = PlacementContext {
             settings: &self.settings,
             catalog: &self.catalog,
             expected: expected_s(&self.settings, &rec.class),
@@ -133,7 +133,7 @@
                 return false;
             }
             let offers = offers.get_or_insert_with(|| {
-                let (offers, looked) = desk.offers(h, id, round);
+                let (offers, looked) = context.offers(h, id, round);
                 self.looked += looked;
                 offers
             });
@@ -172,7 +172,7 @@
             let cost = h
                 .machines
                 .get(&machine)
-                .and_then(|m| desk.cost_of(&h.failures, live, (&machine, m), round));
+                .and_then(|m| context.cost_of(&h.failures, live, (&machine, m), round));
             offers.extend(cost.map(|cost| Offer { cost, machine }));
         }
         false
@@ -384,7 +384,7 @@
 }
 
 struct Round {
-    wares: Wares,
+    images: ImageWorths,
     full: Vec<usize>,
     left: usize,
     /// Demands that found no machine: others like them won't either.
@@ -421,7 +421,7 @@
 impl Eq for Offer {}
 
 /// What placing one job's tasks goes by.
-struct Desk<'a> {
+struct PlacementContext<'a> {
     settings: &'a Settings,
     catalog: &'a [ClassInfo],
     /// Within which time they are expected to start.
@@ -429,7 +429,7 @@
     now: Time,
 }
 
-impl Desk<'_> {
+impl PlacementContext<'_> {
     /// What every machine with room for the job's next task costs, and how many were
     /// looked at.
     fn offers(&self, h: &Holder, job: &JobId, round: &Round) -> (BinaryHeap<Offer>, u64) {
@@ -463,7 +463,7 @@
     fn cost_of(
         &self,
         failures: &FailureLog,
-        live: &Live,
+        live: &JobState,
         (id, m): (&MachineId, &Machine),
         round: &Round,
     ) -> Option<f64> {
@@ -478,12 +478,12 @@
         if waits && !m.spot && round.full.contains(&m.class) {
             return None;
         }
-        Some(cost(self, live, class, m) + regret(&round.wares, live, m))
+        Some(cost(self, live, class, m) + displacement_cost(&round.images, live, m))
     }
 }
 
 /// Takes the cheapest offer whose zone may still have a task of the job.
-fn best_offer(h: &Holder, live: &Live, offers: &mut BinaryHeap<Offer>) -> Option<MachineId> {
+fn best_offer(h: &Holder, live: &JobState, offers: &mut BinaryHeap<Offer>) -> Option<MachineId> {
     loop {
         let machine = offers.pop()?.machine;
         let zone = h.machines.get(&machine).map(|m| &m.zone);
@@ -529,7 +529,7 @@
 }
 
 /// Whether a task fits into what its team is guaranteed.
-fn within_guarantee(h: &Holder, settings: &Settings, live: &Live) -> bool {
+fn within_guarantee(h: &Holder, settings: &Settings, live: &JobState) -> bool {
     let teams = &settings.platform.facts.teams;
     let Some(team) = teams.iter().find(|t| t.name == live.rec.team) else {
         return false;
@@ -561,7 +561,7 @@
 }
 
 /// Whether a zone may take this job's next task.
-pub(crate) fn zone_allowed(live: &Live, zone: &str) -> bool {
+pub(crate) fn zone_allowed(live: &JobState, zone: &str) -> bool {
     let rec = &live.rec;
     if rec.zone.as_ref().is_some_and(|z| z != zone) {
         return false;
@@ -591,16 +591,16 @@
         && now >= m.full_until
 }
 
-fn cost(desk: &Desk, live: &Live, class: &ClassInfo, m: &Machine) -> f64 {
+fn cost(context: &PlacementContext, live: &JobState, class: &ClassInfo, m: &Machine) -> f64 {
     let rec = &live.rec;
     let free_share = 1.0 - m.used.share_of(class.room);
     // A start goes with the answer to a report: at once, where one waits for it.
-    let report_s = desk.settings.platform.facts.workers.report_s;
+    let report_s = context.settings.platform.facts.workers.report_s;
     let answer_s = match m.held {
         Some(_) => 0.0,
-        None => (report_s - desk.now.since(m.seen)).max(0.0),
+        None => (report_s - context.now.since(m.seen)).max(0.0),
     };
-    let delay = delay_cost(desk.expected, class, answer_s + fetch_s(rec, class, m));
+    let delay = delay_cost(context.expected, class, answer_s + fetch_s(rec, class, m));
     let mut cost = delay + FREE_COST * free_share;
     if rec.form == Form::Service {
         // One machine's loss shall cost a job as little as can be.
@@ -637,12 +637,12 @@
 
 /// An image's worth on a machine that has it and has room for one of its tasks: what its
 /// next start would lose elsewhere, the less the more such machines there are.
-type Wares = HashMap<Image, (Room, f64)>;
+type ImageWorths = HashMap<Image, (Room, f64)>;
 
-fn ready_wares(h: &Holder, catalog: &[ClassInfo], settings: &Settings, now: Time) -> Wares {
-    let most = h.wares.values().map(|w| w.asked(now)).fold(1e-9, f64::max);
+fn ready_images(h: &Holder, catalog: &[ClassInfo], settings: &Settings, now: Time) -> ImageWorths {
+    let most = h.images.values().map(|w| w.asked(now)).fold(1e-9, f64::max);
     let mut ready: BTreeMap<&Image, u32> = BTreeMap::new();
-    let needs = h.wares.values().map(|w| w.need);
+    let needs = h.images.values().map(|w| w.need);
     let least = needs.reduce(Room::least).unwrap_or_default();
     for (id, m) in h.machines.roomy(least, |_, spot, _| !spot) {
         if !usable(m, settings, now) || !h.failures.rested(id, now) {
@@ -650,7 +650,7 @@
         }
         let free = m.free();
         for (image, _) in &m.images {
-            if h.wares.get(image).is_some_and(|w| free.holds(w.need)) {
+            if h.images.get(image).is_some_and(|w| free.holds(w.need)) {
                 *ready.entry(image).or_default() += 1;
             }
         }
@@ -660,7 +660,7 @@
         .map(|c| c.fetch_gb_s)
         .fold(f64::MAX, f64::min);
     let worth = |(image, n): (&Image, u32)| {
-        let w = h.wares.get(image)?;
+        let w = h.images.get(image)?;
         let cost = delay_cost(
             expected_s(settings, &w.class),
             catalog.first()?,
@@ -674,7 +674,7 @@
 
 /// What is lost when a task takes the room that a machine has for services whose images
 /// it holds.
-fn regret(wares: &Wares, live: &Live, m: &Machine) -> f64 {
+fn displacement_cost(worths: &ImageWorths, live: &JobState, m: &Machine) -> f64 {
     if m.spot {
         return 0.0;
     }
@@ -685,8 +685,8 @@
         .images
         .iter()
         .filter(|(image, _)| *image != live.rec.image);
-    let wares = images.filter_map(|(image, _)| wares.get(image));
-    let lost = wares.filter(|(need, _)| before.holds(*need) && !after.holds(*need));
+    let images = images.filter_map(|(image, _)| worths.get(image));
+    let lost = images.filter(|(need, _)| before.holds(*need) && !after.holds(*need));
     lost.map(|(_, worth)| worth).sum()
 }
 
@@ -714,7 +714,7 @@
 fn cheapest_victims(
     h: &Holder,
     catalog: &[ClassInfo],
-    live: &Live,
+    live: &JobState,
     now: Time,
     most: usize,
     over: &[&str],
@@ -741,7 +741,7 @@
 }
 
 /// Which tasks to stop on one machine, and what that throws away.
-fn victims_on(h: &Holder, live: &Live, m: &Machine, over: &[&str]) -> Option<(f64, Vec<TaskId>)> {
+fn victims_on(h: &Holder, live: &JobState, m: &Machine, over: &[&str]) -> Option<(f64, Vec<TaskId>)> {
     let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
     for (t, seat) in &m.tasks {
         let rec = &seat.rec;
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -14,7 +14,7 @@
 //! that nobody with sight of the state service reaches.
 
 use super::*;
-use crate::peer::{Beat, BeatAnswer};
+use crate::peer::{RelayedReport, RelayedAnswer};
 use crate::settings::Sibling;
 
 /// A report whose machine's holder is down.
@@ -40,7 +40,7 @@
 /// down: only the controllers can't reach it, and workers are sent there.
 const TAKEOVER_S: f64 = 1.5;
 /// Pause between two workers sent home to a controller that hears no worker yet.
-const CANARY_S: f64 = 2.0;
+const TRIAL_PAUSE_S: f64 = 2.0;
 
 /// A report handed to its holder.
 #[derive(Debug)]
@@ -69,7 +69,7 @@
     down: BTreeMap<Member, Option<Time>>,
     /// When this process last answered in a holder's place; at first its start.
     sheltered: Option<Time>,
-    canaries: BTreeMap<Member, Time>,
+    trials: BTreeMap<Member, Time>,
     /// Workers sent to a safer controller of this zone, and when.
     sent_away: BTreeMap<MachineId, Time>,
 }
@@ -79,7 +79,7 @@
 
 /// One of several controllers for a machine, the same each time.
 fn pick_by_name<'a>(id: &MachineId, members: &[&'a Member]) -> Option<&'a Member> {
-    let at = blocks::spread(id.as_str()) % members.len().max(1) as u64;
+    let at = blocks::stable_hash(id.as_str()) % members.len().max(1) as u64;
     members.get(at as usize).copied()
 }
 
@@ -130,11 +130,11 @@
         let local = if safe.is_empty() { local } else { safe };
         let home = pick_by_name(id, &local)?.clone();
         let heard = self.siblings.get(&home).is_some_and(|(h, _)| h.heard);
-        let canary = self.relays.canaries.get(&home);
-        if !heard && canary.is_some_and(|at| self.now.since(*at) < CANARY_S) {
+        let trial = self.relays.trials.get(&home);
+        if !heard && trial.is_some_and(|at| self.now.since(*at) < TRIAL_PAUSE_S) {
             return None;
         }
-        self.relays.canaries.insert(home.clone(), self.now);
+        self.relays.trials.insert(home.clone(), self.now);
         Some(home)
     }
 
@@ -187,8 +187,8 @@
         let reached = holder.filter(|h| self.reachable(h));
         match reached {
             Some(to) if self.linked(&to) && report.tasks.len() <= RELAY_TASKS => {
-                let beat = Beat::new(&self.settings.platform.member, self.boot, req, &report);
-                let message = Message::Beat(Box::new(beat));
+                let relayed = RelayedReport::new(&self.settings.platform.member, self.boot, req, &report);
+                let message = Message::RelayedReport(Box::new(relayed));
                 self.out.push(Output::Peer(Some(to.clone()), message));
                 let since = self.now;
                 self.relays.out.insert(req, Relayed { to, report, since });
@@ -288,10 +288,10 @@
         let takeover_s = self.settings.tuning.grant_s + TAKEOVER_S;
         let heard = self.siblings.get(holder).map(|(_, at)| *at);
         let unheard = heard.is_none_or(|at| self.now.since(at) > takeover_s);
-        self.lively(holder) || unheard && !self.blind()
+        self.heartbeat_fresh(holder) || unheard && !self.blind()
     }
 
-    pub(crate) fn relay_chores(&mut self) {
+    pub(crate) fn relay_housekeeping(&mut self) {
         let kept_s = KEPT_LEASES * self.settings.platform.facts.workers.lease_s;
         let now = self.now;
         let sent_away = &mut self.relays.sent_away;
@@ -308,7 +308,7 @@
         }
         let patience = self.settings.hold_s(false) + RELAY_GRACE_S;
         let late = self.relays.out.iter().filter(|(_, r)| {
-            self.now.since(r.since) > patience || !self.lively(&r.to) || !self.linked(&r.to)
+            self.now.since(r.since) > patience || !self.heartbeat_fresh(&r.to) || !self.linked(&r.to)
         });
         let late: Vec<ReqId> = late.map(|(req, _)| *req).collect();
         for req in late {
@@ -326,19 +326,19 @@
     // ---- siblings
 
     /// A sibling hands on a report of one of its workers.
-    pub(crate) fn on_beat(&mut self, beat: Beat) {
-        if !self.is_sibling(&beat.from) {
+    pub(crate) fn on_relayed_report(&mut self, relayed: RelayedReport) {
+        if !self.is_sibling(&relayed.from) {
             return;
         }
         self.relays.guest_count += 1;
         let req = ReqId(GUESTS + self.relays.guest_count);
         let guest = Guest {
-            from: beat.from.clone(),
-            boot: beat.boot,
-            req: ReqId(beat.req),
+            from: relayed.from.clone(),
+            boot: relayed.boot,
+            req: ReqId(relayed.req),
         };
         self.relays.guests.insert(req, guest);
-        let report = beat.report();
+        let report = relayed.report();
         let id = MachineId::from(report.machine.as_str());
         match self.block_here(&id) {
             Some(block) => self.in_block(block, |core| core.on_block_report(req, &id, report)),
@@ -347,7 +347,7 @@
     }
 
     /// The holder's answer to a report that was handed on to it.
-    pub(crate) fn on_beat_answer(&mut self, answer: BeatAnswer) {
+    pub(crate) fn on_relayed_answer(&mut self, answer: RelayedAnswer) {
         let req = ReqId(answer.req);
         if answer.boot != self.boot {
             return;
@@ -376,14 +376,14 @@
         let Some(guest) = self.relays.guests.remove(&req) else {
             return self.out.push(Output::Answer(req, reply));
         };
-        let answer = BeatAnswer {
+        let answer = RelayedAnswer {
             boot: guest.boot,
             req: guest.req.0,
             status: reply.status,
             body: reply.body,
             retry_after: reply.retry_after,
         };
-        let message = Message::BeatAnswer(answer);
+        let message = Message::RelayedAnswer(answer);
         self.out.push(Output::Peer(Some(guest.from), message));
     }
 
@@ -410,7 +410,7 @@
 
     /// Whether messages reach a sibling, as far as is known.
     fn linked(&self, member: &Member) -> bool {
-        self.lively(member) && !self.relays.down.contains_key(member)
+        self.heartbeat_fresh(member) && !self.relays.down.contains_key(member)
     }
 
     /// Whether a holder runs, since its record stands, while it refuses connections
--- a/src/core/workers.rs
+++ b/src/core/workers.rs
@@ -28,11 +28,11 @@
 const DEAF_REPORTS: f64 = 5.0;
 /// Silent machines are a few up to this share; more are taken to be cut off, and are
 /// given up after so many leases.
-const FEW_SHARE: f64 = 0.15;
+const FEW_SILENT_SHARE: f64 = 0.15;
 const MASS_SILENT: f64 = 4.0;
 /// Machines that have been quiet for this share of the patience with silent ones are
 /// counted among these.
-const ALMOST: f64 = 0.95;
+const NEARLY_SILENT: f64 = 0.95;
 /// Machines that may be sheltered are given up after so many.
 const SHELTERED_SILENT: f64 = 9.0;
 /// A zone is taken to be cut off when this share of its machines, and at least so
@@ -423,7 +423,7 @@
 
     // ---- what time brings
 
-    pub(crate) fn holder_chores(&mut self) {
+    pub(crate) fn holder_housekeeping(&mut self) {
         if self.holder.is_none() {
             return;
         }
@@ -434,7 +434,7 @@
         self.check_unhearing();
         self.drain();
         self.consolidate();
-        self.doom_unborn();
+        self.delete_abandoned();
         self.delete_doomed();
         let now = self.now;
         if let Some(h) = &mut self.holder {
@@ -548,7 +548,7 @@
         for (id, m) in h.machines.iter().filter(|(_, m)| m.up.is_some()) {
             up += 1;
             let quiet = now.since(m.seen.max(h.since));
-            if m.held.is_none() && quiet > silent_s * ALMOST {
+            if m.held.is_none() && quiet > silent_s * NEARLY_SILENT {
                 let provable = m.shown || m.tasks.is_empty();
                 let patience = match (provable, mute.contains(&m.via)) {
                     (true, false) => silent_s,
@@ -564,7 +564,7 @@
         h.cut_zones = cut_zones;
         let back = h.zones_cut_at.is_some_and(|at| now.since(at) < lease_s);
         let calm = h.cut_at;
-        h.cut = silent.len() as f64 > (FEW_SHARE * f64::from(up)).max(2.0);
+        h.cut = silent.len() as f64 > (FEW_SILENT_SHARE * f64::from(up)).max(2.0);
         if h.cut || !h.cut_zones.is_empty() {
             h.cut_at = now;
         }
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,7 @@
 //! The `polling` loop: sockets, timers, reconnects. It turns bytes into the core's
 //! inputs and carries out its outputs.
 
-use crate::core::{Ask, CallId, Core, Input, Link, Output, Reply, ReqId};
+use crate::core::{Request, CallId, Core, Input, Link, Output, Reply, ReqId};
 use crate::gauge::Gauge;
 use crate::http::{self, Decoder, HttpError, Message, Side};
 use crate::ids::{JobId, Member, Time};
@@ -414,7 +414,7 @@
                 self.workers -= usize::from(*worker);
                 if let Some(req) = pending.take() {
                     self.requests.remove(&req);
-                    self.inputs.push_back(Input::Hangup(req));
+                    self.inputs.push_back(Input::Disconnect(req));
                 }
             }
             Role::PeerIn { .. } => self.inbound -= 1,
@@ -649,7 +649,7 @@
             ..
         }) = self.conns.get_mut(&key)
         {
-            let reports = matches!(ask, Ok(Ask::Report(_)));
+            let reports = matches!(ask, Ok(Request::Report(_)));
             if reports && !*worker && full {
                 (ask, close) = (Err((503, "too many workers")), true);
             } else if reports && !*worker {
@@ -670,7 +670,7 @@
                     *pending = Some(req);
                 }
                 self.requests.insert(req, key);
-                self.inputs.push_back(Input::Ask(req, ask));
+                self.inputs.push_back(Input::Request(req, ask));
             }
             Err((status, why)) => {
                 let later = (status == 503).then_some(REFUSED_RETRY_S);
@@ -960,17 +960,17 @@
 const EINPROGRESS: i32 = 115;
 
 /// What a request asks, or the status that refuses it.
-fn route(method: &str, path: &str, body: &[u8]) -> Result<Ask, (u16, &'static str)> {
-    let want = |m: &str, ask: Ask| {
+fn route(method: &str, path: &str, body: &[u8]) -> Result<Request, (u16, &'static str)> {
+    let want = |m: &str, ask: Request| {
         let right = m == method;
         right.then_some(ask).ok_or((405, "wrong method"))
     };
     match path {
-        "/up" => return want("GET", Ask::Up),
-        "/work" if method == "POST" => return Ok(Ask::Submit(wire::submission(body))),
+        "/up" => return want("GET", Request::Up),
+        "/work" if method == "POST" => return Ok(Request::Submit(wire::submission(body))),
         "/agent/beat" if method == "POST" => {
             let report = wire::decode(body).ok_or((400, "not a report"))?;
-            return Ok(Ask::Report(report));
+            return Ok(Request::Report(report));
         }
         "/work" | "/agent/beat" => return Err((405, "wrong method")),
         _ => {}
@@ -982,8 +982,8 @@
     };
     let id = JobId::parse(id).ok_or((404, "no such job"))?;
     if withdraw {
-        want("POST", Ask::Withdraw(id))
+        want("POST", Request::Withdraw(id))
     } else {
-        want("GET", Ask::Poll(id))
+        want("GET", Request::Poll(id))
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,9 +17,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     Hello(Hello),
-    Tally(Box<Tally>),
-    Beat(Box<Beat>),
-    BeatAnswer(BeatAnswer),
+    BlockCounts(Box<BlockCounts>),
+    RelayedReport(Box<RelayedReport>),
+    RelayedAnswer(RelayedAnswer),
 }
 
 /// What a controller says of itself about once a second.
@@ -55,7 +55,7 @@
 
 /// A worker's report, handed on to its block's holder.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct RelayedReport {
     pub from: Member,
     pub boot: u64,
     /// The sender's request, for the answer.
@@ -72,7 +72,7 @@
     tasks: Vec<(String, Attempt, TaskStance, Option<Cause>)>,
 }
 
-impl Beat {
+impl RelayedReport {
     pub fn new(from: &Member, boot: u64, req: ReqId, report: &Report) -> Self {
         let tasks = report.tasks.iter();
         let tasks = tasks.map(|t| (t.task.clone(), t.attempt, t.stance, t.cause));
@@ -118,7 +118,7 @@
 
 /// The answer to a report that was handed on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct BeatAnswer {
+pub struct RelayedAnswer {
     /// The process that asked, and its request.
     pub boot: u64,
     pub req: u64,
@@ -129,7 +129,7 @@
 
 /// What a block's holder counts for the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Tally {
+pub struct BlockCounts {
     pub from: Member,
     pub block: u32,
     pub number: Number,
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -372,7 +372,7 @@
     assert_eq!(peer::unframe(&mut other_version), Ok(None));
     assert!(other_version.is_empty(), "another version is passed over");
     // A message that no sibling would take is refused here, not cut off.
-    let large = peer::Message::BeatAnswer(peer::BeatAnswer {
+    let large = peer::Message::RelayedAnswer(peer::RelayedAnswer {
         boot: 1,
         req: 2,
         status: 200,
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -2,11 +2,11 @@
 //! what a scenario can ask of a world to show that a meeting took place.
 
 use super::checker::Said;
-use super::users::{Wish, edited};
+use super::users::{Intent, edited};
 use super::world::{Args, Ev, Origin, Spec, World, arg, ms, num};
 use ciborium::Value;
 use salttrestle::core::records::{JobRec, Room};
-use salttrestle::core::{Ask, Input, Reply};
+use salttrestle::core::{Request, Input, Reply};
 use salttrestle::ids::JobId;
 use salttrestle::wire::{Report, StateOp, StateReply};
 use std::collections::{BTreeMap, BTreeSet};
@@ -101,7 +101,7 @@
 
     fn send_copy(&mut self, n: usize, delay: u64, report: Report) {
         let copy = self.request(Origin::Nobody);
-        self.send_later(n, delay, Input::Ask(copy, Ask::Report(report)));
+        self.send_later(n, delay, Input::Request(copy, Request::Report(report)));
     }
 
     /// Somebody holds a block under a new number: kept reports come everywhere at once.
@@ -126,15 +126,15 @@
             return;
         }
         for n in 0..self.nodes.len() {
-            for wish in [Wish::Look, Wish::Repeat, Wish::Look] {
+            for intent in [Intent::Look, Intent::Repeat, Intent::Look] {
                 let at = self.now + self.random(8);
                 self.met.looks += 1;
-                self.at(at, Ev::Asks(id.clone(), wish, n));
+                self.at(at, Ev::Asks(id.clone(), intent, n));
             }
         }
         let stays = self.specs[id].service;
         if said == Said::Queued && !stays && self.strikes(|t| t.cancel_at_once) {
-            self.user(id, Wish::Withdraw);
+            self.user(id, Intent::Withdraw);
         }
     }
 
@@ -144,7 +144,7 @@
         let all = job.finished.len() as u32 == job.rec.count;
         if all && self.strikes(|t| t.cancel_at_end) {
             self.met.cancelled_at_end += 1;
-            self.user(id, Wish::Withdraw);
+            self.user(id, Intent::Withdraw);
         }
     }
 
@@ -170,7 +170,7 @@
                 w.hang(now, now + ms(hang_s));
             }
             let at = now + self.random(200);
-            self.at(at, Ev::User(id, Wish::Withdraw));
+            self.at(at, Ev::User(id, Intent::Withdraw));
         }
     }
 
@@ -185,7 +185,7 @@
             if self.random(1000) < (num(args, "cancelled", 0.0) * 1000.0) as u64 {
                 let id = JobId::from(format!("{}-{n}", args[0]).as_str());
                 let later = at + 500 + self.random(ms(num(args, "run", 20.0)));
-                self.at(later, Ev::User(id, Wish::Withdraw));
+                self.at(later, Ev::User(id, Intent::Withdraw));
             }
         }
     }
@@ -197,7 +197,7 @@
         for n in 0..count {
             let pick = self.random(ids.len() as u64) as usize;
             let at = self.now + n * for_ms / count;
-            self.at(at, Ev::User(ids[pick].clone(), Wish::Look));
+            self.at(at, Ev::User(ids[pick].clone(), Intent::Look));
         }
     }
 
@@ -216,15 +216,15 @@
             list.into_iter().map(|(id, _)| id.clone()).collect()
         };
         let (done, open) = (names(done), names(open));
-        let (list, wish) = match self.random(5) {
-            0 => (open, Wish::Repeat),
-            1 => (open, Wish::Mangled),
-            2 => (done, Wish::Withdraw),
+        let (list, intent) = match self.random(5) {
+            0 => (open, Intent::Repeat),
+            1 => (open, Intent::Mangled),
+            2 => (done, Intent::Withdraw),
             kind => return self.odd_job(kind == 3),
         };
         if !list.is_empty() {
             let pick = self.random(list.len() as u64) as usize;
-            self.user(&list[pick], wish);
+            self.user(&list[pick], intent);
         }
     }
 
@@ -244,13 +244,13 @@
         if let Some(job) = self.checker.jobs.get_mut(&id) {
             job.unfit = true;
         }
-        self.user(&id, Wish::Submit);
+        self.user(&id, Intent::Submit);
     }
 
-    pub fn note_refusal(&mut self, req: u64, id: &JobId, wish: Wish, reply: Option<&Reply>) {
+    pub fn note_refusal(&mut self, req: u64, id: &JobId, intent: Intent, reply: Option<&Reply>) {
         let asked = self.met.asked.remove(&req);
         let refused = reply.is_some_and(|r| r.status == 503);
-        if let (Wish::Withdraw, true, Some(at)) = (wish, refused, asked) {
+        if let (Intent::Withdraw, true, Some(at)) = (intent, refused, asked) {
             self.met.refusals.push((id.clone(), self.now - at));
         }
     }
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -3,7 +3,7 @@
 use super::checker::Said;
 use super::world::{Ev, Origin, Spec, World};
 use ciborium::Value;
-use salttrestle::core::{Ask, Input, Reply};
+use salttrestle::core::{Request, Input, Reply};
 use salttrestle::ids::JobId;
 use salttrestle::wire;
 use serde::Deserialize;
@@ -14,7 +14,7 @@
 const WAIT_MS: u64 = 5000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum Intent {
     Submit,
     Poll,
     Withdraw,
@@ -33,11 +33,11 @@
 }
 
 impl World {
-    pub fn user(&mut self, id: &JobId, wish: Wish) {
+    pub fn user(&mut self, id: &JobId, intent: Intent) {
         // Nobody calls off what hasn't been accepted yet.
         let accepted = self.checker.jobs.get(id).is_none_or(|j| j.told.accepted);
-        if wish == Wish::Withdraw && !accepted {
-            return self.after(500, Ev::User(id.clone(), wish));
+        if intent == Intent::Withdraw && !accepted {
+            return self.after(500, Ev::User(id.clone(), intent));
         }
         // The balancer passes over nodes that don't answer `/up`.
         let alive: Vec<usize> = (0..self.nodes.len())
@@ -45,44 +45,44 @@
             .collect();
         let pick = self.random(alive.len() as u64) as usize;
         // With no node there, the request times out.
-        self.ask_at(id, wish, alive.get(pick).copied().unwrap_or(0));
+        self.ask_at(id, intent, alive.get(pick).copied().unwrap_or(0));
     }
 
     /// A user asks at this node.
-    pub fn ask_at(&mut self, id: &JobId, wish: Wish, n: usize) {
-        let wait = match wish {
-            Wish::Poll | Wish::Look => POLL_WAIT_MS,
+    pub fn ask_at(&mut self, id: &JobId, intent: Intent, n: usize) {
+        let wait = match intent {
+            Intent::Poll | Intent::Look => POLL_WAIT_MS,
             _ => WAIT_MS,
         };
         let body = self.specs.get(id).map(|s| s.body.clone());
-        let ask = match (wish, body) {
-            (Wish::Poll | Wish::Look, _) => Ask::Poll(id.clone()),
-            (Wish::Withdraw, _) => {
+        let ask = match (intent, body) {
+            (Intent::Poll | Intent::Look, _) => Request::Poll(id.clone()),
+            (Intent::Withdraw, _) => {
                 let now = self.now;
                 self.checker.cancel_asked(now, id);
-                Ask::Withdraw(id.clone())
+                Request::Withdraw(id.clone())
             }
-            (Wish::Probe, _) => Ask::Up,
-            (Wish::Submit | Wish::Repeat, Some(body)) => Ask::Submit(wire::submission(&body)),
-            (Wish::Mangled, Some(body)) => Ask::Submit(wire::submission(&without_rank(&body))),
+            (Intent::Probe, _) => Request::Up,
+            (Intent::Submit | Intent::Repeat, Some(body)) => Request::Submit(wire::submission(&body)),
+            (Intent::Mangled, Some(body)) => Request::Submit(wire::submission(&without_rank(&body))),
             (_, None) => return,
         };
-        let req = self.request(Origin::User(id.clone(), wish));
-        log::debug!("{} {wish:?} {id} at node {n}", self.now);
-        if wish == Wish::Withdraw {
+        let req = self.request(Origin::User(id.clone(), intent));
+        log::debug!("{} {intent:?} {id} at node {n}", self.now);
+        if intent == Intent::Withdraw {
             self.met.asked.insert(req.0, self.now);
         }
         self.after(wait, Ev::UserTimeout(req.0));
         if self.nodes[n].core.is_some() {
-            self.send(n, Input::Ask(req, ask));
+            self.send(n, Input::Request(req, ask));
         }
     }
 
     /// A user got an answer, or gave up waiting for one.
-    pub fn user_answer(&mut self, id: JobId, wish: Wish, reply: Option<Reply>) {
+    pub fn user_answer(&mut self, id: JobId, intent: Intent, reply: Option<Reply>) {
         let now = self.now;
         let status = reply.as_ref().map_or(0, |r| r.status);
-        log::debug!("{now} {wish:?} {id}: {status}");
+        log::debug!("{now} {intent:?} {id}: {status}");
         self.statuses
             .entry((id.clone(), status))
             .and_modify(|n| *n += 1)
@@ -117,14 +117,14 @@
             }
         }
         let over = matches!(said, Some(Said::Done | Said::Withdrawn | Said::Refused));
-        match wish {
-            Wish::Submit if said.is_some() && !over => {
-                self.after(POLL_MS, Ev::User(id, Wish::Poll));
+        match intent {
+            Intent::Submit if said.is_some() && !over => {
+                self.after(POLL_MS, Ev::User(id, Intent::Poll));
             }
-            Wish::Poll if !over => self.after(POLL_MS, Ev::User(id, Wish::Poll)),
-            Wish::Submit | Wish::Withdraw if said.is_none() => {
+            Intent::Poll if !over => self.after(POLL_MS, Ev::User(id, Intent::Poll)),
+            Intent::Submit | Intent::Withdraw if said.is_none() => {
                 let pause = reply.and_then(|r| r.retry_after).unwrap_or(1).clamp(1, 30);
-                self.after(u64::from(pause) * 1000, Ev::User(id, wish));
+                self.after(u64::from(pause) * 1000, Ev::User(id, intent));
             }
             _ => {}
         }
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -3,7 +3,7 @@
 use super::checker::Place;
 use super::world::{Ev, Origin, World};
 use ciborium::cbor;
-use salttrestle::core::{Ask, Input, Reply};
+use salttrestle::core::{Request, Input, Reply};
 use salttrestle::ids::{Attempt, TaskId};
 use salttrestle::wire;
 use serde::Deserialize;
@@ -285,13 +285,13 @@
         {
             for n in 0..self.nodes.len() {
                 let copy = self.request(Origin::Nobody);
-                let ask = Ask::Report(report.clone());
-                self.send_later(n, delay, Input::Ask(copy, ask));
+                let ask = Request::Report(report.clone());
+                self.send_later(n, delay, Input::Request(copy, ask));
             }
         }
         self.copy_report(&report);
         if !cut {
-            self.worker_to_node(id, node, Input::Ask(req, Ask::Report(report)));
+            self.worker_to_node(id, node, Input::Request(req, Request::Report(report)));
         }
     }
 
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -5,7 +5,7 @@
 use super::cloud::Cloud;
 use super::state::{StateService, Waiter};
 use super::troubles::{Met, Troubles, trouble_ms};
-use super::users::Wish;
+use super::users::Intent;
 use super::workers::Worker;
 use ciborium::cbor;
 use rand::rngs::StdRng;
@@ -31,7 +31,7 @@
 
 pub enum Origin {
     Worker(String),
-    User(JobId, Wish),
+    User(JobId, Intent),
     /// A late copy: nobody waits for its answer.
     Nobody,
 }
@@ -46,13 +46,13 @@
     Boot(String),
     WorkerTick(String),
     ToWorker(String, u64, Option<Reply>),
-    User(JobId, Wish),
+    User(JobId, Intent),
     UserTimeout(u64),
     Script(usize),
     /// A line that a running trouble or a stream of jobs brings.
     Line(Vec<String>),
     /// One user asks at one node.
-    Asks(JobId, Wish, usize),
+    Asks(JobId, Intent, usize),
     /// A transaction that got no answer is carried out after all.
     LateCommit(StateOp),
     Odd,
@@ -390,10 +390,10 @@
             Ev::Boot(id) => self.boot_worker(&id),
             Ev::WorkerTick(id) => self.worker_tick(&id),
             Ev::ToWorker(id, req, reply) => self.worker_answer(&id, req, reply),
-            Ev::User(id, wish) => self.user(&id, wish),
+            Ev::User(id, intent) => self.user(&id, intent),
             Ev::UserTimeout(req) => {
-                if let Some((Origin::User(id, wish), _)) = self.origins.remove(&req) {
-                    self.user_answer(id, wish, None);
+                if let Some((Origin::User(id, intent), _)) = self.origins.remove(&req) {
+                    self.user_answer(id, intent, None);
                 }
             }
             Ev::Script(index) => {
@@ -401,7 +401,7 @@
                 self.command(&line);
             }
             Ev::Line(line) => self.command(&line),
-            Ev::Asks(id, wish, n) => self.ask_at(&id, wish, n),
+            Ev::Asks(id, intent, n) => self.ask_at(&id, intent, n),
             Ev::LateCommit(op) => self.carry_out_late(&op),
             Ev::Odd => self.odd_request(),
             Ev::Heal(id) => self.heal(id),
@@ -463,7 +463,7 @@
     }
 
     fn feed(&mut self, n: usize, input: Input) {
-        if let Input::Ask(req, _) = &input {
+        if let Input::Request(req, _) = &input {
             if self.nodes[n].core.is_none() {
                 let req = req.0;
                 return self.deliver(req, None);
@@ -587,7 +587,7 @@
 
     pub fn send_later(&mut self, n: usize, delay: u64, input: Input) {
         let boot = self.nodes[n].boot;
-        if let Input::Ask(req, _) = &input
+        if let Input::Request(req, _) = &input
             && let Some(o) = self.origins.get_mut(&req.0)
         {
             o.1 = n;
@@ -606,7 +606,7 @@
             return;
         }
         if self.nodes[n].core.is_none() {
-            if let Input::Ask(req, _) = input {
+            if let Input::Request(req, _) = input {
                 self.after(1, Ev::ToWorker(id.into(), req.0, None));
             }
             return;
@@ -627,9 +627,9 @@
     fn deliver(&mut self, req: u64, reply: Option<Reply>) {
         match self.origins.remove(&req) {
             Some((Origin::Worker(id), _)) => self.after(1, Ev::ToWorker(id, req, reply)),
-            Some((Origin::User(id, wish), _)) => {
-                self.note_refusal(req, &id, wish, reply.as_ref());
-                self.user_answer(id, wish, reply);
+            Some((Origin::User(id, intent), _)) => {
+                self.note_refusal(req, &id, intent, reply.as_ref());
+                self.user_answer(id, intent, reply);
             }
             _ => {}
         }
@@ -798,15 +798,15 @@
         let until = self.now + for_ms;
         match line[0].as_str() {
             "submit" => self.submit(args),
-            "withdraw" => self.user(&JobId::from(args[0].as_str()), Wish::Withdraw),
-            "poll" => self.user(&JobId::from(args[0].as_str()), Wish::Poll),
+            "withdraw" => self.user(&JobId::from(args[0].as_str()), Intent::Withdraw),
+            "poll" => self.user(&JobId::from(args[0].as_str()), Intent::Poll),
             "probe" => {
                 let id = JobId::from(format!("up-{}", args[0]).as_str());
                 let n = self.node_arg(&args[0]);
-                self.ask_at(&id, Wish::Probe, n);
+                self.ask_at(&id, Intent::Probe, n);
             }
-            "mangled" => self.user(&JobId::from(args[0].as_str()), Wish::Mangled),
-            "again" => self.user(&JobId::from(args[0].as_str()), Wish::Submit),
+            "mangled" => self.user(&JobId::from(args[0].as_str()), Intent::Mangled),
+            "again" => self.user(&JobId::from(args[0].as_str()), Intent::Submit),
             "kill" if args[0] == "all" => {
                 for n in 0..self.nodes.len() {
                     self.kill(n, ms(num(args, "down", 3.0)));
@@ -988,6 +988,6 @@
             broken: flag(args, "broken"),
         };
         self.add_spec(&id, spec);
-        self.user(&id, Wish::Submit);
+        self.user(&id, Intent::Submit);
     }
 }
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -5,7 +5,7 @@
 use salttrestle::core::ReqId;
 use salttrestle::core::records::*;
 use salttrestle::ids::{Attempt, Image, MachineId, Member, Number};
-use salttrestle::peer::{self, Beat, BeatAnswer, Hello, Message, PoolCount, Tally, TeamCount};
+use salttrestle::peer::{self, RelayedReport, RelayedAnswer, Hello, Message, PoolCount, BlockCounts, TeamCount};
 use salttrestle::wire::{self, Cause, Num, Report, ReportTask, TaskStance};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -163,17 +163,17 @@
             cause: Some(Cause::Done),
         }],
     };
-    let beat = Beat::new(&member(), 7, ReqId(3), &report);
-    check_message(&Message::Beat(Box::new(beat)), BEAT);
-    let answer = BeatAnswer {
+    let relayed = RelayedReport::new(&member(), 7, ReqId(3), &report);
+    check_message(&Message::RelayedReport(Box::new(relayed)), BEAT);
+    let answer = RelayedAnswer {
         boot: 7,
         req: 3,
         status: 200,
         body: vec![0xa0],
         retry_after: Some(2),
     };
-    check_message(&Message::BeatAnswer(answer), BEAT_ANSWER);
-    let tally = Tally {
+    check_message(&Message::RelayedAnswer(answer), BEAT_ANSWER);
+    let block_counts = BlockCounts {
         from: member(),
         block: 0,
         number: Number(41),
@@ -185,7 +185,7 @@
         gone: vec![machine()],
         teams: vec![("vision".into(), TeamCount::default())],
     };
-    check_message(&Message::Tally(Box::new(tally)), TALLY);
+    check_message(&Message::BlockCounts(Box::new(block_counts)), TALLY);
 }
 
 const LEADER: &str =
