A revision is called one everywhere; the wire's words have tests of their own

mark and ledger become revision in the core; wire keeps the page's words by serde renames. wire_words checks bodies to and from the state service and the cloud against the page's examples: the stand-ins take typed calls, so that a wrong rename there would have passed every test.

--- a/src/core/autoscaler/machines.rs
+++ b/src/core/autoscaler/machines.rs
@@ -71,7 +71,9 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        let never = |m: &Machine| now.since(m.since) > ABANDONED_AFTER * h.overdue_s(&self.catalog, m, boot);
+        let never = |m: &Machine| {
+            now.since(m.since) > ABANDONED_AFTER * h.overdue_s(&self.catalog, m, boot)
+        };
         let never = h.machines.booting().filter(|(_, m)| never(m));
         let never: Vec<MachineId> = never.map(|(id, _)| id.clone()).collect();
         for id in never {
@@ -130,11 +132,11 @@
 
     /// Returns the machines that the leader's plan names, if they are still empty.
     pub(crate) fn obey_plan(&mut self) {
-        let mark = self.cache.plan.mark;
-        if mark == self.plan_seen {
+        let revision = self.cache.plan.revision;
+        if revision == self.plan_seen {
             return;
         }
-        self.plan_seen = mark;
+        self.plan_seen = revision;
         let now = self.now;
         let returns = self.cache.plan.rec.iter().flat_map(|p| &p.returns);
         for id in returns {
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -166,7 +166,7 @@
             from: self.settings.platform.member.clone(),
             block: h.block,
             number: h.number,
-            mark: h.block_mark,
+            revision: h.block_revision,
             pools: pools.collect(),
             zones: zones.collect(),
             pins: pins.collect(),
@@ -182,7 +182,8 @@
             lead.gone.retain(|_, at| now.since(*at) < GONE_S);
             lead.gone
                 .extend(block_counts.gone.iter().map(|id| (id.clone(), now)));
-            lead.block_counts.insert(block_counts.block, (block_counts, now));
+            lead.block_counts
+                .insert(block_counts.block, (block_counts, now));
         }
     }
 
@@ -241,7 +242,7 @@
             .cache
             .blocks
             .iter()
-            .filter_map(|(k, b)| Some((*k, (b.mark, b.rec.clone()?))))
+            .filter_map(|(k, b)| Some((*k, (b.revision, b.rec.clone()?))))
             .collect();
         let mut after: BTreeMap<u32, BlockRec> =
             before.iter().map(|(k, (_, b))| (*k, b.clone())).collect();
@@ -269,7 +270,7 @@
                 continue;
             }
             bytes += json_bytes(&rec);
-            when.push((Key::Block(block), old.map_or(0, |(mark, _)| *mark)));
+            when.push((Key::Block(block), old.map_or(0, |(revision, _)| *revision)));
             writes.push(Write::put(Key::Block(block), Record::Block(rec)));
         }
         if writes.is_empty() {
@@ -452,9 +453,9 @@
             return;
         }
         let marks = self.cache.blocks.iter();
-        let marks: BTreeMap<u32, u64> = marks.map(|(k, b)| (*k, b.mark)).collect();
+        let marks: BTreeMap<u32, u64> = marks.map(|(k, b)| (*k, b.revision)).collect();
         let all = self.believed();
-        let current = |t: &&&BlockCounts| marks.get(&t.block) == Some(&t.mark);
+        let current = |t: &&&BlockCounts| marks.get(&t.block) == Some(&t.revision);
         let told: BTreeMap<u32, &BlockCounts> =
             all.iter().filter(current).map(|t| (t.block, *t)).collect();
         if recs.keys().any(|k| !told.contains_key(k)) {
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -91,7 +91,7 @@
             self.election.vacant = None;
             return;
         }
-        if self.now < self.election.rest_until || self.cache.ledger < self.election.won {
+        if self.now < self.election.rest_until || self.cache.revision < self.election.won {
             return;
         }
         let vacant = *self.election.vacant.get_or_insert(self.now);
@@ -164,8 +164,8 @@
     pub(crate) fn on_elected(&mut self, reply: StateReply) {
         self.election.busy = false;
         self.election.vacant = None;
-        if let StateReply::Committed { ledger } = reply {
-            self.election.won = ledger;
+        if let StateReply::Committed { revision } = reply {
+            self.election.won = revision;
         }
     }
 
@@ -210,19 +210,22 @@
             let spent = self.spent.get(&block).is_some_and(|n| rec.number <= *n);
             let me = &self.settings.platform.member;
             let mine = rec.holder == *me && rec.boot == self.boot && !spent;
-            self.sync_block(block, slot.mark, &rec, mine && rested);
+            self.sync_block(block, slot.revision, &rec, mine && rested);
         }
         self.obey_plan();
     }
 
     /// Brings what is held here in line with a block's record.
-    fn sync_block(&mut self, block: u32, mark: u64, rec: &BlockRec, mine: bool) {
-        let held = self.parked.get(&block).map(|h| (h.number, h.block_mark));
+    fn sync_block(&mut self, block: u32, revision: u64, rec: &BlockRec, mine: bool) {
+        let held = self
+            .parked
+            .get(&block)
+            .map(|h| (h.number, h.block_revision));
         match held {
             Some((number, _)) if !mine || number != rec.number => {
                 self.in_block(block, |core| core.drop_block("it has another holder"));
             }
-            Some((_, known)) if known == mark => return,
+            Some((_, known)) if known == revision => return,
             _ => {}
         }
         if !mine {
@@ -240,7 +243,7 @@
                 core.rebuild();
             }
             if let Some(h) = &mut core.holder {
-                h.sync(core.now, mark, rec, &core.catalog);
+                h.sync(core.now, revision, rec, &core.catalog);
             }
         });
     }
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -317,7 +317,7 @@
             rec.withdrawn = true;
             let key = Key::Job(q.id.clone());
             let op = StateOp::Commit {
-                when: vec![(key.clone(), job.mark)],
+                when: vec![(key.clone(), job.revision)],
                 writes: vec![Write::put(key, Record::Job(Box::new(rec)))],
             };
             if let Err(Purpose::Withdraw(q)) =
@@ -431,7 +431,9 @@
         for s in list {
             match &reply {
                 // Its user may have asked elsewhere meanwhile, and been told more.
-                StateReply::Committed { .. } if late => self.on_question(s.req, s.id, Intent::Again),
+                StateReply::Committed { .. } if late => {
+                    self.on_question(s.req, s.id, Intent::Again)
+                }
                 StateReply::Committed { .. } => {
                     info!("job {} accepted: {} of {}", s.id, s.rec.count, s.rec.class);
                     let body = stance_body(&s.id, Stance::Queued, 0, 0);
@@ -482,7 +484,8 @@
         let here = *holder == self.settings.platform.member;
         let chunks = self.cache.chunks(id);
         let mut placed = chunks.flat_map(|(_, (_, run))| &run.placed);
-        !(here || self.heartbeat_fresh(holder)) || placed.any(|(_, _, machine, _)| overdue.contains(machine))
+        !(here || self.heartbeat_fresh(holder))
+            || placed.any(|(_, _, machine, _)| overdue.contains(machine))
     }
 
     /// Gives up what can't be answered in time. The answer goes out at once.
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 pub struct JobState {
     pub rec: Rc<JobRec>,
-    pub mark: u64,
+    pub revision: u64,
     /// Order of arrival: the revision of its acceptance.
     pub arrival: u64,
     pub since: Time,
@@ -67,7 +67,7 @@
 /// What is written of a chunk.
 #[derive(Debug, Default)]
 pub struct Chunk {
-    pub mark: u64,
+    pub revision: u64,
     pub busy: bool,
     /// Finished tasks that aren't written yet; their results aren't cleared.
     pub unwritten: bool,
@@ -202,7 +202,7 @@
 pub struct Holder {
     pub block: u32,
     pub number: Number,
-    pub block_mark: u64,
+    pub block_revision: u64,
     pub since: Time,
     /// Whether it is the only block, with every machine there is in it.
     pub whole: bool,
@@ -259,7 +259,7 @@
         Self {
             block,
             number,
-            block_mark: 0,
+            block_revision: 0,
             since: now,
             whole: true,
             cut_zones: BTreeSet::new(),
@@ -301,8 +301,8 @@
     }
 
     /// Takes over what the block's record says besides who holds it.
-    pub(crate) fn sync(&mut self, now: Time, mark: u64, rec: &BlockRec, catalog: &[ClassInfo]) {
-        self.block_mark = mark;
+    pub(crate) fn sync(&mut self, now: Time, revision: u64, rec: &BlockRec, catalog: &[ClassInfo]) {
+        self.block_revision = revision;
         self.whole = rec.machines.is_none();
         self.allowances = rec.allowances.clone();
         self.place_wanted = true;
@@ -560,8 +560,8 @@
     fn new(job: &jobs::CachedJob, now: Time) -> Self {
         Self {
             rec: job.rec.clone(),
-            mark: job.mark,
-            arrival: job.mark,
+            revision: job.revision,
+            arrival: job.revision,
             since: now,
             withdrawn: job.withdrawn,
             done: vec![false; job.rec.count as usize],
@@ -593,7 +593,7 @@
         (self.rec.count - self.done_count).saturating_sub(self.placed.len() as u32)
     }
 
-    /// The first queued task from `queue_from` on; moves that mark along.
+    /// The first queued task from `queue_from` on; moves that index along.
     pub(crate) fn next_queued(&mut self) -> Option<u32> {
         while self.queue_from < self.rec.count && !self.is_queued(self.queue_from) {
             self.queue_from += 1;
@@ -625,7 +625,11 @@
         if let Some(h) = &mut self.holder {
             // Chunks without a job belong to no block; the first one's holder clears
             // them away.
-            h.leftover_chunks = if block == 0 { leftover_chunks } else { Vec::new() };
+            h.leftover_chunks = if block == 0 {
+                leftover_chunks
+            } else {
+                Vec::new()
+            };
             h.guess_demand(self.now, &self.catalog, self.cache.closed());
             info!("took over {} jobs of block {block}", h.jobs.len());
         }
@@ -641,7 +645,7 @@
             return;
         };
         if let Some(live) = h.jobs.get_mut(id) {
-            live.mark = job.mark;
+            live.revision = job.revision;
             if job.withdrawn.is_some() && live.withdrawn.is_none() {
                 live.withdrawn = job.withdrawn;
                 self.halt_withdrawn(id);
@@ -650,9 +654,9 @@
         }
         let mut live = JobState::new(job, now);
         let mut doubts = Vec::new();
-        for (chunk, (mark, run)) in self.cache.chunks(id) {
+        for (chunk, (revision, run)) in self.cache.chunks(id) {
             let entry = live.chunks.entry(chunk).or_default();
-            entry.mark = *mark;
+            entry.revision = *revision;
             for (from, to) in &run.done {
                 for index in *from..(*to).min(live.rec.count) {
                     if !std::mem::replace(&mut live.done[index as usize], true) {
@@ -831,8 +835,8 @@
             let chunk = live.chunks.entry(item.chunk).or_default();
             chunk.busy = false;
             match &reply {
-                StateReply::Committed { ledger } => {
-                    chunk.mark = *ledger;
+                StateReply::Committed { revision } => {
+                    chunk.revision = *revision;
                     // What came in meanwhile is still to be written.
                     let queued = |u| h.to_flush.contains(&(u, item.job.clone(), item.chunk));
                     chunk.unwritten = WriteUrgency::ALL.into_iter().any(queued);
@@ -886,11 +890,11 @@
     }
 
     pub(crate) fn on_reread(&mut self, job: JobId, chunk: u32, reply: StateReply) {
-        let (mark, run) = match reply {
+        let (revision, run) = match reply {
             StateReply::Found {
                 record: Record::Run(run),
-                mark,
-            } => (mark, run),
+                revision,
+            } => (revision, run),
             StateReply::Missing { .. } => (0, RunRec::default()),
             _ => return self.reread_later(&job, chunk),
         };
@@ -899,7 +903,7 @@
         if let Some(h) = &mut self.holder {
             if let Some(live) = h.jobs.get_mut(&job) {
                 let entry = live.chunks.entry(chunk).or_default();
-                entry.mark = mark;
+                entry.revision = revision;
                 entry.busy = false;
                 let placed: Vec<_> = run.placed.iter().map(|p| (p.0, p.1)).collect();
                 ready = make_ready(now, live, &placed);
@@ -937,8 +941,8 @@
             }
             let (job, end) = (Key::Job(id.clone()), Key::End(id.clone()));
             let mut when = vec![
-                (Key::Block(h.block), h.block_mark),
-                (job.clone(), live.mark),
+                (Key::Block(h.block), h.block_revision),
+                (job.clone(), live.revision),
             ];
             let mut writes = Vec::new();
             let (ending, priority) = match live.withdrawn {
@@ -949,7 +953,7 @@
             when.push((end.clone(), 0));
             writes.push(Write::put(end, Record::End(ending)));
             writes.push(Write::Delete { key: job });
-            let written = live.chunks.iter().filter(|(_, c)| c.mark > 0);
+            let written = live.chunks.iter().filter(|(_, c)| c.revision > 0);
             let room = ops - writes.len();
             writes.extend(written.take(room).map(|(chunk, _)| Write::Delete {
                 key: Key::Run(id.clone(), *chunk),
@@ -982,7 +986,7 @@
             key: Key::Run(job.clone(), *chunk),
         });
         let op = StateOp::Commit {
-            when: vec![(Key::Block(h.block), h.block_mark)],
+            when: vec![(Key::Block(h.block), h.block_revision)],
             writes: writes.collect(),
         };
         h.cleaning = true;
@@ -1087,7 +1091,7 @@
 /// Builds the next transaction of chunks of one priority: urgent ones don't wait until there
 /// is budget for batch work as well.
 fn next_flush(h: &mut Holder, ops: usize, priority: Priority) -> Option<(StateOp, Vec<FlushItem>)> {
-    let mut when = vec![(Key::Block(h.block), h.block_mark)];
+    let mut when = vec![(Key::Block(h.block), h.block_revision)];
     let (mut writes, mut items, mut bytes) = (Vec::new(), Vec::new(), 0);
     let same = |(urgency, ..): &&(WriteUrgency, JobId, u32)| urgency.priority() == priority;
     let candidates = h.to_flush.iter().take_while(same).take(4 * ops);
@@ -1104,11 +1108,11 @@
         if live.finishing || live.chunks.get(chunk).is_some_and(|c| c.busy) {
             continue;
         }
-        let mark = live.chunks.get(chunk).map_or(0, |c| c.mark);
+        let revision = live.chunks.get(chunk).map_or(0, |c| c.revision);
         let rec = h.run_rec(job, live, *chunk);
         bytes += 60 * rec.placed.len() + 12 * rec.done.len();
-        when.push((Key::Job(job.clone()), live.mark));
-        when.push((Key::Run(job.clone(), *chunk), mark));
+        when.push((Key::Job(job.clone()), live.revision));
+        when.push((Key::Run(job.clone(), *chunk), revision));
         let placed = rec.placed.iter().map(|p| (p.0, p.1)).collect();
         writes.push(Write::put(Key::Run(job.clone(), *chunk), Record::Run(rec)));
         items.push(FlushItem {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct CachedJob {
     pub rec: Rc<JobRec>,
-    pub mark: u64,
+    pub revision: u64,
     /// When this process learnt that the job is withdrawn.
     pub withdrawn: Option<Time>,
 }
@@ -20,32 +20,35 @@
 /// A record with its revision; revision 0 stands for one that doesn't exist.
 #[derive(Clone, Debug)]
 pub struct Slot<T> {
-    pub mark: u64,
+    pub revision: u64,
     pub rec: Option<T>,
 }
 
 impl<T> Default for Slot<T> {
     fn default() -> Self {
-        Self { mark: 0, rec: None }
+        Self {
+            revision: 0,
+            rec: None,
+        }
     }
 }
 
 impl<T> Slot<T> {
     /// Takes a change unless a newer one is known. True if something changed.
-    fn set(&mut self, mark: u64, rec: Option<T>) -> bool {
-        if mark <= self.mark {
+    fn set(&mut self, revision: u64, rec: Option<T>) -> bool {
+        if revision <= self.revision {
             return false;
         }
         // A deleted key compares as revision 0 at the state service, but its
         // deletion must still outrank older changes that come late.
-        self.mark = mark;
+        self.revision = revision;
         self.rec = rec;
         true
     }
 
     /// The revision to compare with in a commit.
     pub fn version(&self) -> u64 {
-        if self.rec.is_some() { self.mark } else { 0 }
+        if self.rec.is_some() { self.revision } else { 0 }
     }
 }
 
@@ -62,7 +65,7 @@
 #[derive(Debug, Default)]
 pub struct Cache {
     /// The revision up to which everything is known.
-    pub ledger: u64,
+    pub revision: u64,
     pub leader: Slot<LeaderRec>,
     pub number: Slot<NumberRec>,
     pub plan: Slot<PlanRec>,
@@ -76,18 +79,18 @@
 
 impl Cache {
     /// Takes one change. Changes come again and late, and are then ignored.
-    pub fn apply(&mut self, now: Time, (key, mark, record): Change) -> Option<Event> {
+    pub fn apply(&mut self, now: Time, (key, revision, record): Change) -> Option<Event> {
         match (key, record) {
-            (Key::Leader, Some(Record::Leader(r))) => control(self.leader.set(mark, Some(r))),
-            (Key::Leader, None) => control(self.leader.set(mark, None)),
-            (Key::Number, Some(Record::Number(r))) => control(self.number.set(mark, Some(r))),
-            (Key::Plan, Some(Record::Plan(r))) => control(self.plan.set(mark, Some(r))),
+            (Key::Leader, Some(Record::Leader(r))) => control(self.leader.set(revision, Some(r))),
+            (Key::Leader, None) => control(self.leader.set(revision, None)),
+            (Key::Number, Some(Record::Number(r))) => control(self.number.set(revision, Some(r))),
+            (Key::Plan, Some(Record::Plan(r))) => control(self.plan.set(revision, Some(r))),
             (Key::Block(k), Some(Record::Block(r))) => {
-                control(self.blocks.entry(k).or_default().set(mark, Some(r)))
+                control(self.blocks.entry(k).or_default().set(revision, Some(r)))
             }
-            (Key::Job(id), Some(Record::Job(r))) => self.set_job(now, id, mark, *r),
+            (Key::Job(id), Some(Record::Job(r))) => self.set_job(now, id, revision, *r),
             (Key::Job(id), None) => {
-                let old = self.jobs.get(&id).is_some_and(|j| j.mark < mark);
+                let old = self.jobs.get(&id).is_some_and(|j| j.revision < revision);
                 if !old {
                     return None;
                 }
@@ -96,14 +99,14 @@
             }
             (Key::Run(id, chunk), Some(Record::Run(r))) => {
                 let at = self.runs.entry((id, chunk)).or_default();
-                if mark > at.0 {
-                    *at = (mark, r);
+                if revision > at.0 {
+                    *at = (revision, r);
                 }
                 None
             }
             (Key::Run(id, chunk), None) => {
                 let key = (id, chunk);
-                if self.runs.get(&key).is_some_and(|r| r.0 < mark) {
+                if self.runs.get(&key).is_some_and(|r| r.0 < revision) {
                     self.runs.remove(&key);
                 }
                 None
@@ -116,8 +119,8 @@
         }
     }
 
-    fn set_job(&mut self, now: Time, id: JobId, mark: u64, rec: JobRec) -> Option<Event> {
-        if self.jobs.get(&id).is_some_and(|j| j.mark >= mark) {
+    fn set_job(&mut self, now: Time, id: JobId, revision: u64, rec: JobRec) -> Option<Event> {
+        if self.jobs.get(&id).is_some_and(|j| j.revision >= revision) {
             return None;
         }
         let since = self.jobs.get(&id).and_then(|j| j.withdrawn).unwrap_or(now);
@@ -125,38 +128,38 @@
         let rec = Rc::new(rec);
         let job = CachedJob {
             rec,
-            mark,
+            revision,
             withdrawn,
         };
         self.jobs.insert(id.clone(), job);
         Some(Event::Job(id))
     }
 
-    /// Takes a full listing that began at `ledger`: what it doesn't hold is gone.
-    pub fn replace(&mut self, now: Time, ledger: u64, entries: Vec<Change>) -> Vec<Event> {
+    /// Takes a full listing that began at revision `listed_at`: what it doesn't hold is gone.
+    pub fn replace(&mut self, now: Time, listed_at: u64, entries: Vec<Change>) -> Vec<Event> {
         let mut events = Vec::new();
         let listed: std::collections::HashSet<Key> =
             entries.iter().map(|(k, _, _)| k.clone()).collect();
         let lost: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(id, j)| j.mark <= ledger && !listed.contains(&Key::Job((*id).clone())))
+            .filter(|(id, j)| j.revision <= listed_at && !listed.contains(&Key::Job((*id).clone())))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lost {
             self.jobs.remove(&id);
             events.push(Event::JobGone(id));
         }
-        self.runs.retain(|(id, chunk), (mark, _)| {
-            *mark > ledger || listed.contains(&Key::Run(id.clone(), *chunk))
+        self.runs.retain(|(id, chunk), (revision, _)| {
+            *revision > listed_at || listed.contains(&Key::Run(id.clone(), *chunk))
         });
         if !listed.contains(&Key::Leader) {
-            self.leader.set(ledger, None);
+            self.leader.set(listed_at, None);
         }
         for change in entries {
             events.extend(self.apply(now, change));
         }
-        self.ledger = self.ledger.max(ledger);
+        self.revision = self.revision.max(listed_at);
         events
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,7 +19,7 @@
 mod workers;
 
 use crate::ids::*;
-use crate::peer::{Hello, Message, BlockCounts};
+use crate::peer::{BlockCounts, Hello, Message};
 use crate::settings::Settings;
 use crate::wire::*;
 use blocks::Lead;
@@ -154,7 +154,7 @@
 struct FreshRead {
     call: CallId,
     sent: Time,
-    ledger: u64,
+    revision: u64,
     answered: Time,
 }
 
@@ -514,11 +514,11 @@
             _ => self.heard_at = self.now,
         }
         match &reply {
-            StateReply::Missing { ledger } | StateReply::Committed { ledger } => {
+            StateReply::Missing { revision } | StateReply::Committed { revision } => {
                 self.fresh_waiting.push_back(FreshRead {
                     call: id,
                     sent,
-                    ledger: *ledger,
+                    revision: *revision,
                     answered: self.now,
                 });
             }
@@ -604,7 +604,7 @@
             entries: page,
             last,
             more,
-            ledger,
+            revision,
         } = reply
         else {
             self.sync = Sync::Idle {
@@ -617,7 +617,7 @@
         };
         // Later pages may show later changes; the follow starts at the first
         // page's revision and brings what the pages missed.
-        let began = *first.get_or_insert(ledger);
+        let began = *first.get_or_insert(revision);
         entries.extend(page);
         if let (true, Some(last)) = (more, last) {
             self.list_from(last);
@@ -632,7 +632,7 @@
 
     fn follow(&mut self) {
         let op = StateOp::Follow {
-            after: self.cache.ledger,
+            after: self.cache.revision,
         };
         self.sync = match self.state_call(op, Purpose::Follow, Priority::First) {
             Ok(call) => Sync::Following { call },
@@ -657,14 +657,14 @@
 
     fn on_follow(&mut self, reply: StateReply, sent: Time) {
         match reply {
-            StateReply::News { ledger, news } => {
+            StateReply::News { revision, news } => {
                 let now = self.now;
                 self.known_at = self.known_at.max(sent);
                 let events: Vec<Event> = news
                     .into_iter()
                     .filter_map(|change| self.cache.apply(now, change))
                     .collect();
-                self.cache.ledger = self.cache.ledger.max(ledger);
+                self.cache.revision = self.cache.revision.max(revision);
                 self.follow_on();
                 self.on_events(events);
             }
@@ -746,16 +746,16 @@
     }
 
     fn catch_up(&mut self) {
-        let ledger = self.cache.ledger;
+        let revision = self.cache.revision;
         let (fresh, call) = (&mut self.fresh_at, &mut self.fresh_call);
         let known = &mut self.known_at;
         self.fresh_waiting.retain(|r| {
-            if r.ledger <= ledger {
+            if r.revision <= revision {
                 *fresh = (*fresh).max(r.sent);
                 *known = (*known).max(r.sent);
                 *call = (*call).max(r.call);
             }
-            r.ledger > ledger
+            r.revision > revision
         });
         self.answer_questions();
     }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -741,7 +741,12 @@
 }
 
 /// Which tasks to stop on one machine, and what that throws away.
-fn victims_on(h: &Holder, live: &JobState, m: &Machine, over: &[&str]) -> Option<(f64, Vec<TaskId>)> {
+fn victims_on(
+    h: &Holder,
+    live: &JobState,
+    m: &Machine,
+    over: &[&str],
+) -> Option<(f64, Vec<TaskId>)> {
     let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
     for (t, seat) in &m.tasks {
         let rec = &seat.rec;
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -14,7 +14,7 @@
 //! that nobody with sight of the state service reaches.
 
 use super::*;
-use crate::peer::{RelayedReport, RelayedAnswer};
+use crate::peer::{RelayedAnswer, RelayedReport};
 use crate::settings::Sibling;
 
 /// A report whose machine's holder is down.
@@ -187,7 +187,8 @@
         let reached = holder.filter(|h| self.reachable(h));
         match reached {
             Some(to) if self.linked(&to) && report.tasks.len() <= RELAY_TASKS => {
-                let relayed = RelayedReport::new(&self.settings.platform.member, self.boot, req, &report);
+                let relayed =
+                    RelayedReport::new(&self.settings.platform.member, self.boot, req, &report);
                 let message = Message::RelayedReport(Box::new(relayed));
                 self.out.push(Output::Peer(Some(to.clone()), message));
                 let since = self.now;
@@ -308,7 +309,9 @@
         }
         let patience = self.settings.hold_s(false) + RELAY_GRACE_S;
         let late = self.relays.out.iter().filter(|(_, r)| {
-            self.now.since(r.since) > patience || !self.heartbeat_fresh(&r.to) || !self.linked(&r.to)
+            self.now.since(r.since) > patience
+                || !self.heartbeat_fresh(&r.to)
+                || !self.linked(&r.to)
         });
         let late: Vec<ReqId> = late.map(|(req, _)| *req).collect();
         for req in late {
--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,7 @@
 //! The `polling` loop: sockets, timers, reconnects. It turns bytes into the core's
 //! inputs and carries out its outputs.
 
-use crate::core::{Request, CallId, Core, Input, Link, Output, Reply, ReqId};
+use crate::core::{CallId, Core, Input, Link, Output, Reply, ReqId, Request};
 use crate::gauge::Gauge;
 use crate::http::{self, Decoder, HttpError, Message, Side};
 use crate::ids::{JobId, Member, Time};
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -134,7 +134,7 @@
     pub block: u32,
     pub number: Number,
     /// The revision of the block's record under which this was counted.
-    pub mark: u64,
+    pub revision: u64,
     /// Each pool by type and kind.
     pub pools: Vec<(String, bool, PoolCount)>,
     /// Machines by type, kind and zone.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -626,19 +626,19 @@
 pub enum StateReply {
     Found {
         record: Record,
-        mark: u64,
+        revision: u64,
     },
     Missing {
-        ledger: u64,
+        revision: u64,
     },
     Page {
         entries: Vec<Change>,
         last: Option<String>,
         more: bool,
-        ledger: u64,
+        revision: u64,
     },
     Committed {
-        ledger: u64,
+        revision: u64,
     },
     Conflict {
         failed: Vec<Key>,
@@ -646,7 +646,7 @@
     Granted(u64),
     Extended,
     News {
-        ledger: u64,
+        revision: u64,
         news: Vec<Change>,
     },
     /// 410: too old to follow from.
@@ -674,7 +674,8 @@
 #[derive(Serialize)]
 struct WhenBody {
     path: String,
-    mark: u64,
+    #[serde(rename = "mark")]
+    revision: u64,
 }
 
 #[derive(Serialize)]
@@ -760,18 +761,22 @@
         }
         let read = match (self, status) {
             (Self::Fresh | Self::Get(_), 404) => {
-                decode::<LedgerBody>(body).map(|b| StateReply::Missing { ledger: b.ledger })
+                decode::<RevisionBody>(body).map(|b| StateReply::Missing {
+                    revision: b.revision,
+                })
             }
             (Self::Get(key), 200) => decode::<EntryBody>(body).and_then(|b| {
                 let record = record_from(key, b.data)?;
                 Some(StateReply::Found {
                     record,
-                    mark: b.mark,
+                    revision: b.revision,
                 })
             }),
             (Self::List { .. }, 200) => decode::<PageBody>(body).map(page),
             (Self::Commit { .. }, 200) => {
-                decode::<LedgerBody>(body).map(|b| StateReply::Committed { ledger: b.ledger })
+                decode::<RevisionBody>(body).map(|b| StateReply::Committed {
+                    revision: b.revision,
+                })
             }
             (Self::Commit { .. }, 409) => {
                 decode::<ConflictBody>(body).map(|b| StateReply::Conflict {
@@ -793,9 +798,9 @@
 }
 
 fn commit_body(when: &[(Key, u64)], writes: &[Write]) -> Vec<u8> {
-    let when = when.iter().map(|(key, mark)| WhenBody {
+    let when = when.iter().map(|(key, revision)| WhenBody {
         path: key.to_string(),
-        mark: *mark,
+        revision: *revision,
     });
     let writes = writes.iter().map(|w| match w {
         Write::Put { key, record, hold } => WriteBody::Put {
@@ -814,8 +819,9 @@
 }
 
 #[derive(Deserialize)]
-struct LedgerBody {
-    ledger: u64,
+struct RevisionBody {
+    #[serde(rename = "ledger")]
+    revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -832,14 +838,16 @@
 #[derive(Deserialize)]
 struct EntryBody {
     data: Value,
-    mark: u64,
+    #[serde(rename = "mark")]
+    revision: u64,
 }
 
 #[derive(Deserialize)]
 struct PageEntry {
     path: String,
     data: Value,
-    mark: u64,
+    #[serde(rename = "mark")]
+    revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -847,7 +855,8 @@
     entries: Vec<PageEntry>,
     #[serde(rename = "hasNext", default)]
     has_next: bool,
-    ledger: u64,
+    #[serde(rename = "ledger")]
+    revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -858,12 +867,14 @@
     delete: Option<String>,
     #[serde(default)]
     data: Option<Value>,
-    mark: u64,
+    #[serde(rename = "mark")]
+    revision: u64,
 }
 
 #[derive(Deserialize)]
 struct NewsBody {
-    ledger: u64,
+    #[serde(rename = "ledger")]
+    revision: u64,
     #[serde(default)]
     news: Vec<NewsEntry>,
 }
@@ -873,13 +884,13 @@
     let entries = body.entries.into_iter().filter_map(|e| {
         let key = Key::parse(&e.path)?;
         let record = record_from(&key, e.data)?;
-        Some((key, e.mark, Some(record)))
+        Some((key, e.revision, Some(record)))
     });
     StateReply::Page {
         entries: entries.collect(),
         last,
         more: body.has_next,
-        ledger: body.ledger,
+        revision: body.revision,
     }
 }
 
@@ -891,13 +902,13 @@
             (Some(path), _) => {
                 let key = Key::parse(&path)?;
                 let record = record_from(&key, e.data?)?;
-                Some((key, e.mark, Some(record)))
+                Some((key, e.revision, Some(record)))
             }
-            (None, Some(path)) => Some((Key::parse(&path)?, e.mark, None)),
+            (None, Some(path)) => Some((Key::parse(&path)?, e.revision, None)),
             (None, None) => None,
         });
     StateReply::News {
-        ledger: body.ledger,
+        revision: body.revision,
         news: news.collect(),
     }
 }
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -16,7 +16,7 @@
 
 #[derive(Default)]
 pub struct StateService {
-    pub ledger: u64,
+    pub revision: u64,
     pub keys: BTreeMap<String, (Record, u64, Option<u64>)>,
     pub log: Vec<Change>,
     /// Grants: end and length.
@@ -32,7 +32,7 @@
 }
 
 impl StateService {
-    fn change(&mut self, path: &str, record: Option<(Record, Option<u64>)>, mark: u64) {
+    fn change(&mut self, path: &str, record: Option<(Record, Option<u64>)>, revision: u64) {
         let Some(key) = Key::parse(path) else {
             self.defects.push(format!("strange key {path}"));
             return;
@@ -40,13 +40,13 @@
         let rec = record.as_ref().map(|(r, _)| r.clone());
         match record {
             Some((r, hold)) => {
-                self.keys.insert(path.into(), (r, mark, hold));
+                self.keys.insert(path.into(), (r, revision, hold));
             }
             None => {
                 self.keys.remove(path);
             }
         }
-        self.log.push((key, mark, rec));
+        self.log.push((key, revision, rec));
     }
 
     /// Ends grants whose time is over.
@@ -69,9 +69,9 @@
                 .map(|(k, _)| k.clone())
                 .collect();
             for key in keys {
-                self.ledger += 1;
-                let mark = self.ledger;
-                self.change(&key, None, mark);
+                self.revision += 1;
+                let revision = self.revision;
+                self.change(&key, None, revision);
             }
         }
     }
@@ -90,8 +90,8 @@
             return Some(StateReply::TooOld);
         }
         let news: Vec<Change> = self.log.iter().filter(|c| c.1 > after).cloned().collect();
-        let ledger = self.ledger;
-        (!news.is_empty()).then_some(StateReply::News { ledger, news })
+        let revision = self.revision;
+        (!news.is_empty()).then_some(StateReply::News { revision, news })
     }
 
     /// Executes a request; `None` for a follow that has to wait.
@@ -105,15 +105,15 @@
         self.expire(now);
         Some(match op {
             StateOp::Fresh => StateReply::Missing {
-                ledger: self.ledger,
+                revision: self.revision,
             },
             StateOp::Get(key) => match self.keys.get(&key.to_string()) {
-                Some((record, mark, _)) => StateReply::Found {
+                Some((record, revision, _)) => StateReply::Found {
                     record: record.clone(),
-                    mark: *mark,
+                    revision: *revision,
                 },
                 None => StateReply::Missing {
-                    ledger: self.ledger,
+                    revision: self.revision,
                 },
             },
             StateOp::List { after } => self.list(after),
@@ -151,21 +151,21 @@
         let mut entries = Vec::new();
         let mut last = None;
         let mut more = false;
-        for (path, (record, mark, _)) in behind {
+        for (path, (record, revision, _)) in behind {
             if entries.len() == PAGE {
                 more = true;
                 break;
             }
             last = Some(path.clone());
             if let Some(key) = Key::parse(path) {
-                entries.push((key, *mark, Some(record.clone())));
+                entries.push((key, *revision, Some(record.clone())));
             }
         }
         StateReply::Page {
             entries,
             last,
             more,
-            ledger: self.ledger,
+            revision: self.revision,
         }
     }
 
@@ -193,23 +193,25 @@
         }
         let failed: Vec<Key> = when
             .iter()
-            .filter(|(key, mark)| self.keys.get(&key.to_string()).map_or(0, |v| v.1) != *mark)
+            .filter(|(key, revision)| {
+                self.keys.get(&key.to_string()).map_or(0, |v| v.1) != *revision
+            })
             .map(|(key, _)| key.clone())
             .collect();
         if !failed.is_empty() {
             return StateReply::Conflict { failed };
         }
-        self.ledger += 1;
-        let mark = self.ledger;
+        self.revision += 1;
+        let revision = self.revision;
         for w in writes {
             match w {
                 Write::Put { key, record, hold } => {
-                    self.change(&key.to_string(), Some((record.clone(), *hold)), mark);
+                    self.change(&key.to_string(), Some((record.clone(), *hold)), revision);
                 }
-                Write::Delete { key } => self.change(&key.to_string(), None, mark),
+                Write::Delete { key } => self.change(&key.to_string(), None, revision),
             }
         }
-        StateReply::Committed { ledger: mark }
+        StateReply::Committed { revision: revision }
     }
 }
 
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -6,7 +6,7 @@
 use super::world::{Args, Ev, Origin, Spec, World, arg, ms, num};
 use ciborium::Value;
 use salttrestle::core::records::{JobRec, Room};
-use salttrestle::core::{Request, Input, Reply};
+use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::JobId;
 use salttrestle::wire::{Report, StateOp, StateReply};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -3,7 +3,7 @@
 use super::checker::Said;
 use super::world::{Ev, Origin, Spec, World};
 use ciborium::Value;
-use salttrestle::core::{Request, Input, Reply};
+use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::JobId;
 use salttrestle::wire;
 use serde::Deserialize;
@@ -63,8 +63,12 @@
                 Request::Withdraw(id.clone())
             }
             (Intent::Probe, _) => Request::Up,
-            (Intent::Submit | Intent::Repeat, Some(body)) => Request::Submit(wire::submission(&body)),
-            (Intent::Mangled, Some(body)) => Request::Submit(wire::submission(&without_rank(&body))),
+            (Intent::Submit | Intent::Repeat, Some(body)) => {
+                Request::Submit(wire::submission(&body))
+            }
+            (Intent::Mangled, Some(body)) => {
+                Request::Submit(wire::submission(&without_rank(&body)))
+            }
             (_, None) => return,
         };
         let req = self.request(Origin::User(id.clone(), intent));
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -3,7 +3,7 @@
 use super::checker::Place;
 use super::world::{Ev, Origin, World};
 use ciborium::cbor;
-use salttrestle::core::{Request, Input, Reply};
+use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::{Attempt, TaskId};
 use salttrestle::wire;
 use serde::Deserialize;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -725,7 +725,7 @@
         let waits = self.state.outage || self.nodes[n].refused_until > now;
         if self.state.waiters.len() < before && !waits {
             let reply = StateReply::News {
-                ledger: self.state.ledger,
+                revision: self.state.revision,
                 news: Vec::new(),
             };
             let input = Input::State(call, reply);
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -5,7 +5,9 @@
 use salttrestle::core::ReqId;
 use salttrestle::core::records::*;
 use salttrestle::ids::{Attempt, Image, MachineId, Member, Number};
-use salttrestle::peer::{self, RelayedReport, RelayedAnswer, Hello, Message, PoolCount, BlockCounts, TeamCount};
+use salttrestle::peer::{
+    self, BlockCounts, Hello, Message, PoolCount, RelayedAnswer, RelayedReport, TeamCount,
+};
 use salttrestle::wire::{self, Cause, Num, Report, ReportTask, TaskStance};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -177,7 +179,7 @@
         from: member(),
         block: 0,
         number: Number(41),
-        mark: 412,
+        revision: 412,
         pools: vec![("g8".into(), false, PoolCount::default())],
         zones: vec![("g8".into(), false, "a".into(), 3)],
         pins: vec![("g8".into(), false, "b".into(), 1)],
--- /dev/null
+++ b/tests/wire_words.rs
@@ -0,0 +1,153 @@
+//! The words of the state service's and the cloud's interfaces, as their pages write them. The
+//! stand-ins take typed calls, so only these tests see whether a rename here changed a body.
+
+use ciborium::{Value, cbor};
+use salttrestle::core::records::{Ending, Key, Record, RentalRec};
+use salttrestle::ids::{JobId, MachineId};
+use salttrestle::wire::{self, CloudOp, CloudReply, StateOp, StateReply, Write};
+
+fn body(value: Result<Value, ciborium::value::Error>) -> Vec<u8> {
+    wire::encode(&value.expect("a value"))
+}
+
+fn end() -> Key {
+    Key::End(JobId::from("wk-1"))
+}
+
+#[test]
+fn state_requests() {
+    let commit = StateOp::Commit {
+        when: vec![(end(), 0)],
+        writes: vec![
+            Write::Put {
+                key: end(),
+                record: Record::End(Ending::Done),
+                hold: Some(7),
+            },
+            Write::Delete {
+                key: Key::Job(JobId::from("wk-1")),
+            },
+        ],
+    };
+    let call = commit.call();
+    assert_eq!((call.method, call.path.as_str()), ("POST", "/commit"));
+    let wanted = cbor!({
+        "when" => [{"path" => "s/end/wk-1", "mark" => 0}],
+        "writes" => [
+            {"write" => "s/end/wk-1", "data" => "Done", "hold" => 7},
+            {"delete" => "s/job/wk-1"}
+        ]
+    });
+    let sent: Value = wire::decode(&call.body.expect("a body")).expect("CBOR");
+    assert_eq!(sent, wanted.expect("a value"));
+    let grant = StateOp::Grant { ttl_ms: 3000 }.call();
+    let sent: Value = wire::decode(&grant.body.expect("a body")).expect("CBOR");
+    assert_eq!(sent, cbor!({"ttlMs" => 3000}).expect("a value"));
+}
+
+#[test]
+fn state_answers() {
+    let found = body(cbor!({"path" => "s/end/wk-1", "data" => "Done", "mark" => 412, "hold" => 7}));
+    let read = StateReply::Found {
+        record: Record::End(Ending::Done),
+        revision: 412,
+    };
+    assert_eq!(StateOp::Get(end()).reply(200, &found), read);
+    let missing = body(cbor!({"ledger" => 431}));
+    assert_eq!(
+        StateOp::Fresh.reply(404, &missing),
+        StateReply::Missing { revision: 431 }
+    );
+    let commit = StateOp::Commit {
+        when: Vec::new(),
+        writes: Vec::new(),
+    };
+    assert_eq!(
+        commit.reply(200, &body(cbor!({"ledger" => 432}))),
+        StateReply::Committed { revision: 432 }
+    );
+    let conflict = body(cbor!({"failed" => ["s/end/wk-1"], "ledger" => 431}));
+    assert_eq!(
+        commit.reply(409, &conflict),
+        StateReply::Conflict {
+            failed: vec![end()]
+        }
+    );
+    let page = body(cbor!({
+        "entries" => [{"path" => "s/end/wk-1", "data" => "Done", "mark" => 5}],
+        "hasNext" => true, "ledger" => 431
+    }));
+    let listed = StateReply::Page {
+        entries: vec![(end(), 5, Some(Record::End(Ending::Done)))],
+        last: Some("s/end/wk-1".into()),
+        more: true,
+        revision: 431,
+    };
+    let list = StateOp::List { after: "s/".into() };
+    assert_eq!(list.reply(200, &page), listed);
+    let news = body(cbor!({"ledger" => 433, "news" => [
+        {"write" => "s/end/wk-1", "data" => "Done", "mark" => 433},
+        {"delete" => "s/job/wk-1", "mark" => 432}
+    ]}));
+    let followed = StateReply::News {
+        revision: 433,
+        news: vec![
+            (end(), 433, Some(Record::End(Ending::Done))),
+            (Key::Job(JobId::from("wk-1")), 432, None),
+        ],
+    };
+    assert_eq!(StateOp::Follow { after: 431 }.reply(200, &news), followed);
+    let granted = body(cbor!({"hold" => 7}));
+    assert_eq!(
+        StateOp::Grant { ttl_ms: 3000 }.reply(200, &granted),
+        StateReply::Granted(7)
+    );
+}
+
+#[test]
+fn cloud_calls() {
+    let rent = CloudOp::Rent(RentalRec {
+        name: "r-17".into(),
+        class: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        count: 12,
+    });
+    let sent: Value = wire::decode(&rent.call().body.expect("a body")).expect("CBOR");
+    let wanted = cbor!({
+        "hire" => "r-17", "build" => "g8", "quarter" => "a", "borrowed" => true, "number" => 12
+    });
+    assert_eq!(sent, wanted.expect("a value"));
+    let rented = body(cbor!({"rigs" => ["i-000231"]}));
+    let machines = vec![MachineId::from("i-000231")];
+    assert_eq!(
+        rent.reply(200, &rented),
+        CloudReply::Rented(machines.clone())
+    );
+    let delete = CloudOp::Delete(machines);
+    let sent: Value = wire::decode(&delete.call().body.expect("a body")).expect("CBOR");
+    assert_eq!(sent, cbor!({"rigs" => ["i-000231"]}).expect("a value"));
+    let catalog = body(cbor!({"builds" => [{
+        "name" => "g8", "cores" => 96, "accelerators" => 8, "memGb" => 768, "localGb" => 200,
+        "fetchGbPerS" => 1.0, "rate" => 12.0, "lowPrice" => 4.5, "readyS" => 45,
+        "quarters" => ["a", "b"]
+    }]}));
+    let CloudReply::Catalog(classes) = CloudOp::Catalog.reply(200, &catalog) else {
+        panic!("no catalogue");
+    };
+    assert_eq!((classes[0].name.as_str(), classes[0].ready_s), ("g8", 45.0));
+    assert_eq!(classes[0].zones, ["a", "b"]);
+    let listed = body(cbor!({"rigs" => [{
+        "id" => "i-000231", "endpoint" => "10.1.0.232:9000", "build" => "g8", "quarter" => "a",
+        "borrowed" => true, "stance" => "running", "ageS" => 61.5
+    }], "hasNext" => false}));
+    let CloudReply::Page { machines, more } = (CloudOp::List { after: None }).reply(200, &listed)
+    else {
+        panic!("no list");
+    };
+    assert!(!more && machines[0].spot);
+    assert_eq!(
+        (machines[0].id.as_str(), machines[0].age_s()),
+        ("i-000231", 61.5)
+    );
+}
