--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -211,7 +211,7 @@
                 Write::Delete { key } => self.change(&key.to_string(), None, revision),
             }
         }
-        StateReply::Committed { revision: revision }
+        StateReply::Committed { revision }
     }
 }
 
