--- /dev/null
+++ b/src/wire/user.rs
@@ -0,0 +1,187 @@
+//! Submissions, and what users are answered.
+
+use super::*;
+
+#[derive(Deserialize)]
+struct SubmitBody {
+    id: String,
+    troupe: String,
+    crew: String,
+    form: FormWord,
+    rank: RankWord,
+    verses: u32,
+    cores: Num,
+    accelerators: Num,
+    #[serde(rename = "memGb")]
+    mem_gb: Num,
+    score: String,
+    #[serde(rename = "sizeGb")]
+    size_gb: Num,
+    builds: Option<Vec<String>>,
+    quarter: Option<String>,
+    #[serde(rename = "samePlace")]
+    same_place: bool,
+    scatter: bool,
+    borrowed: bool,
+    #[serde(rename = "reckonS")]
+    reckon_s: Num,
+    #[serde(rename = "bookmarkS")]
+    bookmark_s: Num,
+    #[serde(rename = "stashS")]
+    stash_s: Num,
+    #[serde(rename = "curtainS")]
+    curtain_s: Option<Num>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum FormWord {
+    Batch,
+    Service,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RankWord {
+    Critical,
+    Urgent,
+    Normal,
+    Idle,
+}
+
+/// Why a submission is malformed: the field, or what the parser said. Its id, if that can
+/// be read: the job may be known, and then its state is the answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadBody {
+    pub why: String,
+    pub id: Option<JobId>,
+}
+
+impl From<String> for BadBody {
+    fn from(why: String) -> Self {
+        Self { why, id: None }
+    }
+}
+
+impl From<&'static str> for BadBody {
+    fn from(field: &'static str) -> Self {
+        Self::from(format!("{field} is invalid"))
+    }
+}
+
+/// What a submission that is otherwise malformed may still tell.
+#[derive(Deserialize)]
+struct Named {
+    id: String,
+}
+
+/// Reads and checks a submission. Chunk size and block are for the core to set.
+pub fn submission(body: &[u8]) -> Result<(JobId, JobRec), BadBody> {
+    checked(body).map_err(|bad| {
+        let named = ciborium::from_reader::<Named, _>(body).ok();
+        let id = named.and_then(|n| JobId::parse(&n.id));
+        BadBody { id, ..bad }
+    })
+}
+
+fn checked(body: &[u8]) -> Result<(JobId, JobRec), BadBody> {
+    let mut rest = body;
+    let b: SubmitBody = ciborium::from_reader(&mut rest).map_err(|e| format!("malformed: {e}"))?;
+    if !rest.is_empty() {
+        return Err(String::from("something follows the submission").into());
+    }
+    let id = JobId::parse(&b.id).ok_or("id")?;
+    if b.verses == 0 || b.verses > TASKS_MAX {
+        return Err("verses".into());
+    }
+    let name = |field: &'static str, text: String| {
+        let good = !text.is_empty() && text.len() <= NAME_MAX && !text.contains(char::is_control);
+        good.then_some(text).ok_or(BadBody::from(field))
+    };
+    let amount = |field: &'static str, n: Num| {
+        let good = n.0.is_finite() && (0.0..=AMOUNT_MAX).contains(&n.0);
+        good.then_some(n.0).ok_or(BadBody::from(field))
+    };
+    let types = match b.builds {
+        None => None,
+        Some(list) if list.is_empty() || list.len() > TYPES_MAX => return Err("builds".into()),
+        Some(list) => Some(
+            list.into_iter()
+                .map(|t| name("builds", t))
+                .collect::<Result<Vec<_>, _>>()?,
+        ),
+    };
+    let rec = JobRec {
+        class: name("troupe", b.troupe)?,
+        team: name("crew", b.crew)?,
+        form: match b.form {
+            FormWord::Batch => Form::Batch,
+            FormWord::Service => Form::Service,
+        },
+        rank: match b.rank {
+            RankWord::Critical => Rank::Critical,
+            RankWord::Urgent => Rank::Urgent,
+            RankWord::Normal => Rank::Normal,
+            RankWord::Idle => Rank::Idle,
+        },
+        count: b.verses,
+        need: Room {
+            cpus: amount("cores", b.cores)?,
+            gpus: amount("accelerators", b.accelerators)?,
+            mem: amount("memGb", b.mem_gb)?,
+        },
+        image: Image::from(name("score", b.score)?.as_str()),
+        image_gb: amount("sizeGb", b.size_gb)?,
+        types,
+        zone: b.quarter.map(|z| name("quarter", z)).transpose()?,
+        one_zone: b.same_place,
+        scatter: b.scatter,
+        spot: b.borrowed,
+        estimate_s: amount("reckonS", b.reckon_s)?,
+        checkpoint_s: amount("bookmarkS", b.bookmark_s)?,
+        save_s: amount("stashS", b.stash_s)?,
+        deadline_s: b.curtain_s.map(|n| amount("curtainS", n)).transpose()?,
+        chunk: 1,
+        block: 0,
+        withdrawn: false,
+    };
+    Ok((id, rec))
+}
+
+/// A job's stance as users are told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stance {
+    Queued,
+    Running,
+    Done,
+    Withdrawn,
+}
+
+#[derive(Serialize)]
+struct StanceBody<'a> {
+    id: &'a str,
+    stance: Stance,
+    done: u32,
+    running: u32,
+}
+
+/// The answer to a submission, a question or a withdrawal.
+pub fn stance_body(id: &JobId, stance: Stance, done: u32, running: u32) -> Vec<u8> {
+    encode(&StanceBody {
+        id: id.as_str(),
+        stance,
+        done,
+        running,
+    })
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+}
+
+/// The body of a refusal.
+pub fn error_body(why: &str) -> Vec<u8> {
+    encode(&ErrorBody { error: why })
+}
--- /dev/null
+++ b/src/wire/worker.rs
@@ -0,0 +1,115 @@
+//! Workers' reports, and the commands in the answers.
+
+use super::*;
+
+/// One worker's report.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    #[serde(rename = "rig")]
+    pub machine: String,
+    pub endpoint: String,
+    #[serde(rename = "build")]
+    pub class: String,
+    #[serde(rename = "quarter")]
+    pub zone: String,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    #[serde(rename = "baton", default)]
+    pub number: u64,
+    #[serde(rename = "warningS", default)]
+    pub notice_s: Option<Num>,
+    #[serde(rename = "verses", default)]
+    pub tasks: Vec<ReportTask>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct ReportTask {
+    #[serde(rename = "verse")]
+    pub task: String,
+    #[serde(rename = "take")]
+    pub attempt: Attempt,
+    #[serde(rename = "stance")]
+    pub stance: TaskStance,
+    #[serde(default)]
+    pub cause: Option<Cause>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskStance {
+    Fetching,
+    Running,
+    Flushing,
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    Halted,
+    Error,
+    Full,
+    InUse,
+    Unknown,
+    /// A cause that a later worker may know.
+    #[serde(other)]
+    Other,
+}
+
+/// A command to a worker.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "cueKind", rename_all = "lowercase")]
+pub enum Command {
+    Start {
+        #[serde(rename = "verse")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+    },
+    Halt {
+        #[serde(rename = "verse")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+        #[serde(rename = "bowS")]
+        grace_s: f64,
+    },
+    Clear {
+        #[serde(rename = "verse")]
+        task: String,
+        #[serde(rename = "take")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Serialize)]
+struct CommandsBody<'a> {
+    baton: Number,
+    cues: &'a [Command],
+}
+
+/// The answer to a report.
+pub fn commands_body(number: Number, commands: &[Command]) -> Vec<u8> {
+    encode(&CommandsBody {
+        baton: number,
+        cues: commands,
+    })
+}
+
+#[derive(Serialize)]
+struct SteerBody<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    conductor: Option<&'a str>,
+}
+
+/// The answer that sends a worker to another controller.
+pub fn steer_body(to: Option<&Member>) -> Vec<u8> {
+    encode(&SteerBody {
+        conductor: to.map(Member::as_str),
+    })
+}
