--- /dev/null
+++ b/src/core/calls.rs
@@ -0,0 +1,140 @@
+//! Calls to the state service: their budgets, and whose answer is whose.
+
+use super::*;
+
+impl Core {
+    /// Splits the limits that all controllers use together. A single block's holder
+    /// places for all and gets more, the others share the rest; with several blocks
+    /// the shares are even.
+    pub(crate) fn share_budgets(&mut self) {
+        let f = &self.settings.platform.facts;
+        let (t, others) = (&self.settings.tuning, f.count.saturating_sub(1));
+        let single = self.cache.blocks.len() <= 1;
+        let part = match (others, self.parked.is_empty()) {
+            (0, _) => 1.0,
+            (n, _) if !single => 1.0 / f64::from(n + 1),
+            (_, false) => t.budget_holder,
+            (n, true) => (1.0 - t.budget_holder) / f64::from(n),
+        };
+        let part = part * t.budget_share;
+        let (rps, wps) = (f.state.rps * part, f.state.write_rps * part);
+        // Those who don't lead ask the cloud for its catalogue and delete machines.
+        let cloud = f.cloud.rps * t.budget_share;
+        let cloud = match (others, single, self.lead.is_some()) {
+            (0, _, _) | (_, true, _) => cloud,
+            (_, _, true) => cloud * 0.6,
+            (n, _, false) => cloud * 0.4 / f64::from(n),
+        };
+        self.requests.set(self.now, rps, rps);
+        self.changes.set(self.now, wps, wps);
+        self.cloud_budget.set(self.now, cloud, cloud * 1.5);
+    }
+
+    pub(super) fn write_cost(op: &StateOp) -> f64 {
+        match op {
+            StateOp::Commit { writes, .. } => writes.len() as f64,
+            _ => 0.0,
+        }
+    }
+
+    /// Sends a call if the budget allows; hands the purpose back if it doesn't.
+    pub(crate) fn state_call(
+        &mut self,
+        op: StateOp,
+        purpose: Purpose,
+        priority: Priority,
+    ) -> Result<CallId, Purpose> {
+        let cost = Self::write_cost(&op);
+        if !self.requests.has(self.now, 1.0, priority)
+            || (cost > 0.0 && !self.changes.has(self.now, cost, priority))
+        {
+            return Err(purpose);
+        }
+        self.requests.take(1.0);
+        self.changes.take(cost);
+        let id = self.call_id();
+        let sent = self.now;
+        let tenure = self.tenure();
+        let call = Call {
+            purpose,
+            sent,
+            tenure,
+        };
+        self.calls.insert(id, call);
+        self.out.push(Output::State(id, op));
+        Ok(id)
+    }
+
+    pub(crate) fn tenure(&self) -> Tenure {
+        self.holder.as_ref().map(|h| (h.block, h.number))
+    }
+
+    pub(crate) fn call_id(&mut self) -> CallId {
+        self.next_call += 1;
+        CallId(self.next_call)
+    }
+
+    pub(crate) fn last_call(&self) -> CallId {
+        CallId(self.next_call)
+    }
+
+    pub(super) fn on_state(&mut self, id: CallId, reply: StateReply) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let Call {
+            purpose,
+            sent,
+            tenure,
+        } = call;
+        match &reply {
+            StateReply::Refused | StateReply::NoAnswer | StateReply::Strange => {}
+            _ => self.heard_at = self.now,
+        }
+        match &reply {
+            StateReply::Missing { revision } | StateReply::Committed { revision } => {
+                self.fresh_waiting.push_back(FreshRead {
+                    call: id,
+                    sent,
+                    revision: *revision,
+                    answered: self.now,
+                });
+            }
+            _ => {}
+        }
+        match purpose {
+            Purpose::List => self.on_list(reply),
+            Purpose::Follow => self.on_follow(reply, sent),
+            Purpose::Fresh => self.on_fresh(&reply),
+            Purpose::Grant => self.on_grant(reply, sent),
+            Purpose::Elect => self.on_elected(reply),
+            Purpose::Extend => self.on_extended(reply, sent),
+            Purpose::Submit(list) => self.on_submitted(list, reply, sent),
+            Purpose::Withdraw(q) => self.on_withdrawn(q, reply),
+            Purpose::ReadEnd(q) => self.on_end_read(q, reply),
+            Purpose::Plan => self.on_planned(reply),
+            Purpose::Lease => self.on_leased(reply),
+            Purpose::Release => {}
+            of_block => self.on_block_reply(of_block, tenure, reply),
+        }
+        self.catch_up();
+    }
+
+    pub(super) fn on_block_reply(&mut self, purpose: Purpose, tenure: Tenure, reply: StateReply) {
+        let Some((block, number)) = tenure else {
+            return;
+        };
+        self.in_block(block, |core| {
+            if core.tenure() != Some((block, number)) {
+                return;
+            }
+            match purpose {
+                Purpose::Flush(items) => core.on_flushed(items, reply),
+                Purpose::Reread(job, chunk) => core.on_reread(job, chunk, reply),
+                Purpose::Finish(job) => core.on_finished(job, reply),
+                Purpose::Cleanup(list) => core.on_cleaned(list, reply),
+                _ => {}
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/core/freshness.rs
@@ -0,0 +1,76 @@
+//! How fresh the knowledge of the state service is: reads of the present revision, and whether
+//! a controller is blind.
+
+use super::*;
+
+/// Shortest pause between two reads of the present revision, and the share of its requests
+/// that a controller reads it with for users who ask. With that and the follow's share, some
+/// are left for submissions and cancellations however often users ask.
+const FRESH_GAP_S: f64 = 0.06;
+const QUESTION_SHARE: f64 = 0.35;
+/// A controller reads the present revision at least this often.
+const FRESH_EVERY_S: f64 = 1.0;
+
+impl Core {
+    /// Asks for the present revision when somebody waits for it, or when it was
+    /// last read too long ago.
+    pub(super) fn pump_fresh(&mut self) {
+        if self.fresh_sent.is_some() || !self.listed {
+            return;
+        }
+        let since = self.now.since(self.fresh_last);
+        let news = |after: Option<CallId>| after.is_some_and(|after| after >= self.fresh_asked);
+        let asked = news(self.front.newest_question());
+        let urgent = news(self.front.newest_urgent()) && since >= FRESH_GAP_S;
+        let gap_s = 1.0 / (self.requests.rate() * QUESTION_SHARE).max(1.0);
+        let due = urgent || since >= FRESH_EVERY_S;
+        let wanted = asked && since >= gap_s.max(FRESH_GAP_S);
+        if !(due || wanted) {
+            return;
+        }
+        // What it has to know to act, to cancel and to accept goes first, what users merely
+        // ask behind that.
+        let priority = if due {
+            Priority::First
+        } else {
+            Priority::Usual
+        };
+        if let Ok(call) = self.state_call(StateOp::Fresh, Purpose::Fresh, priority) {
+            self.fresh_sent = Some(self.now);
+            self.fresh_last = self.now;
+            self.fresh_asked = call;
+        }
+    }
+
+    pub(super) fn on_fresh(&mut self, reply: &StateReply) {
+        self.fresh_sent = None;
+        if !matches!(reply, StateReply::Missing { .. }) {
+            self.fresh_last = self.now.after(RETRY_S);
+        }
+    }
+
+    pub(super) fn catch_up(&mut self) {
+        let revision = self.cache.revision;
+        let (fresh, call) = (&mut self.fresh_at, &mut self.fresh_call);
+        let known = &mut self.known_at;
+        self.fresh_waiting.retain(|r| {
+            if r.revision <= revision {
+                *fresh = (*fresh).max(r.sent);
+                *known = (*known).max(r.sent);
+                *call = (*call).max(r.call);
+            }
+            r.revision > revision
+        });
+        self.answer_questions();
+    }
+
+    /// Seconds since this controller last knew all that stood at the state service.
+    pub(crate) fn blind_s(&self) -> f64 {
+        self.now.since(self.fresh_at)
+    }
+
+    /// Whether it can't know what the state service holds now.
+    pub(crate) fn blind(&self) -> bool {
+        !self.listed || self.blind_s() > BLIND_S
+    }
+}
