Read through: one way to say a task's chunk, a late boot, and a report that found no holder

One thing differs in what it does: that a job has failed on a machine is part of what the machine costs, so it also counts when the machine is offered again after one of the job's tasks went there; before, only the first offer had it.

--- a/src/core/autoscaler/demand.rs
+++ b/src/core/autoscaler/demand.rs
@@ -32,6 +32,22 @@
     urgent_waiting: BTreeMap<Pool, f64>,
 }
 
+/// A pool's machines that haven't come up yet.
+#[derive(Default)]
+struct BootingCount {
+    all: u32,
+    /// Late ones that aren't overdue yet.
+    late: u32,
+    overdue: u32,
+}
+
+impl BootingCount {
+    /// Whether so many are at least half of them.
+    fn mostly(&self, some: u32) -> bool {
+        some > 0 && 2 * some >= self.all
+    }
+}
+
 impl SlowPools {
     fn slow(&self, pool: &Pool, urgent: bool) -> bool {
         let pools = if urgent {
@@ -123,34 +139,28 @@
 
     /// The pools whose machines come late.
     fn slow_pools(&self, catalog: &[ClassInfo], overdue: f64, now: Time) -> SlowPools {
-        let mut booting: BTreeMap<Pool, (u32, u32, u32)> = BTreeMap::new();
+        let mut booting: BTreeMap<Pool, BootingCount> = BTreeMap::new();
         for (_, m) in self.machines.booting() {
             let count = booting.entry((m.class, m.spot)).or_default();
             let late = self.boots_longer_than(LATE_BOOTS, catalog, m, now);
             let overdue = self.boots_longer_than(overdue, catalog, m, now);
-            count.0 += 1;
-            count.1 += u32::from(late && !overdue);
-            count.2 += u32::from(overdue);
+            count.all += 1;
+            count.late += u32::from(late && !overdue);
+            count.overdue += u32::from(overdue);
         }
         let mut slow = SlowPools::default();
-        for (pool, (all, late, overdue)) in booting {
-            slow.late.insert(pool, late);
-            if 2 * (late + overdue) >= all && late + overdue > 0 {
+        for (pool, count) in booting {
+            slow.late.insert(pool, count.late);
+            if count.mostly(count.late + count.overdue) {
                 slow.for_urgent.insert(pool);
             }
-            if 2 * overdue >= all && overdue > 0 {
+            if count.mostly(count.overdue) {
                 slow.for_all.insert(pool);
             }
         }
         slow
     }
 
-    /// Whether a machine has been booting for longer than so many times what its type's boots
-    /// have taken lately.
-    fn boots_longer_than(&self, times: f64, catalog: &[ClassInfo], m: &Machine, now: Time) -> bool {
-        m.up.is_none() && now.since(m.since) > self.overdue_s(catalog, m, times)
-    }
-
     /// Machines lacking in particular zones: for tasks that may not go elsewhere, by
     /// their job's zone, by its other tasks' zone, or because the other zones hold as
     /// many of its tasks as they may.
--- a/src/core/autoscaler/machines.rs
+++ b/src/core/autoscaler/machines.rs
@@ -71,9 +71,8 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        let never = |m: &Machine| {
-            now.since(m.since) > ABANDONED_AFTER * h.overdue_s(&self.catalog, m, boot)
-        };
+        let most = ABANDONED_AFTER * boot;
+        let never = |m: &Machine| h.boots_longer_than(most, &self.catalog, m, now);
         let never = h.machines.booting().filter(|(_, m)| never(m));
         let never: Vec<MachineId> = never.map(|(id, _)| id.clone()).collect();
         for id in never {
@@ -198,10 +197,18 @@
         }
     }
 
-    /// After how long a machine that isn't up is overdue.
-    pub(super) fn overdue_s(&self, catalog: &[ClassInfo], m: &Machine, boot: f64) -> f64 {
+    /// Whether a machine has been booting for longer than so many times what its type's boots
+    /// have taken lately.
+    pub(super) fn boots_longer_than(
+        &self,
+        times: f64,
+        catalog: &[ClassInfo],
+        m: &Machine,
+        now: Time,
+    ) -> bool {
         let ready_s = catalog.get(m.class).map_or(UNKNOWN_BOOT_S, |c| c.ready_s);
-        boot * self.usual_boot_s(m.class, ready_s)
+        let most_s = times * self.usual_boot_s(m.class, ready_s);
+        m.up.is_none() && now.since(m.since) > most_s
     }
 
     /// Forgets a deleted machine; its tasks are proven gone. Returns the request
--- a/src/core/holder/commits.rs
+++ b/src/core/holder/commits.rs
@@ -330,15 +330,14 @@
 impl Holder {
     /// The present content of a chunk's record.
     fn run_rec(&self, job: &JobId, live: &JobState, chunk: u32) -> RunRec {
-        let size = live.rec.chunk.max(1);
-        let (from, to) = (chunk * size, ((chunk + 1) * size).min(live.rec.count));
+        let tasks = live.rec.tasks_of(chunk);
         let (failed_tries, failed_on) = self.failures.of_job(job);
         let mut rec = RunRec {
             failed_tries,
             failed_on,
             ..RunRec::default()
         };
-        for index in from..to {
+        for index in tasks.clone() {
             if live.done[index as usize] {
                 match rec.done.last_mut() {
                     Some((_, end)) if *end == index => *end += 1,
@@ -346,7 +345,7 @@
                 }
             }
         }
-        for (index, p) in live.placed.range(from..to) {
+        for (index, p) in live.placed.range(tasks) {
             let zone = p.zone.to_string();
             rec.placed
                 .push((*index, p.attempt, p.machine.clone(), zone));
@@ -362,8 +361,7 @@
             return;
         };
         live.chunks.entry(chunk).or_default().busy = false;
-        let size = live.rec.chunk.max(1);
-        let mut placed = live.placed.range(chunk * size..(chunk + 1) * size);
+        let mut placed = live.placed.range(live.rec.tasks_of(chunk));
         let urgency = if placed.any(|(_, p)| p.phase == Phase::Committing) {
             WriteUrgency::placements(live.rec.rank)
         } else {
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -8,7 +8,6 @@
 mod quota;
 mod scoring;
 
-use super::failures::FailureLog;
 use super::fleet::Machine;
 use super::holder::{JobState, Phase, Placement, WriteUrgency};
 use super::*;
@@ -157,7 +156,7 @@
                 runs_well: false,
             };
             h.put(id, index, placement);
-            let chunk = index / rec.chunk.max(1);
+            let chunk = rec.chunk_of(index);
             let urgency = WriteUrgency::placements(rec.rank);
             h.to_flush.insert((urgency, id.clone(), chunk));
             // Only this machine costs something else now.
@@ -165,7 +164,7 @@
             let cost = h
                 .machines
                 .get(&machine)
-                .and_then(|m| context.cost_of(&h.failures, live, (&machine, m), round));
+                .and_then(|m| context.cost_of(h, (id, live), (&machine, m), round));
             offers.extend(cost.map(|cost| Offer { cost, machine }));
         }
         false
--- a/src/core/placement/scoring.rs
+++ b/src/core/placement/scoring.rs
@@ -79,10 +79,7 @@
         let machines = h.machines.roomy(rec.need, fits);
         let offers = machines.filter_map(|(id, m)| {
             looked += 1;
-            let mut cost = self.cost_of(&h.failures, live, (id, m), round)?;
-            if h.failures.failed_on(job, id) {
-                cost += FAILED_COST;
-            }
+            let cost = self.cost_of(h, (job, live), (id, m), round)?;
             let machine = id.clone();
             Some(Offer { cost, machine })
         });
@@ -93,13 +90,13 @@
     /// there.
     pub(super) fn cost_of(
         &self,
-        failures: &FailureLog,
-        live: &JobState,
+        h: &Holder,
+        (job, live): (&JobId, &JobState),
         (id, m): (&MachineId, &Machine),
         round: &Round,
     ) -> Option<f64> {
         let class = self.catalog.get(m.class)?;
-        let usable = usable(m, self.settings, self.now) && failures.rested(id, self.now);
+        let usable = usable(m, self.settings, self.now) && h.failures.rested(id, self.now);
         if !m.free().holds(live.rec.need) || !usable {
             return None;
         }
@@ -109,7 +106,11 @@
         if waits && !m.spot && round.full.contains(&m.class) {
             return None;
         }
-        Some(cost(self, live, class, m) + displacement_cost(&round.images, live, m))
+        let mut cost = cost(self, live, class, m) + displacement_cost(&round.images, live, m);
+        if h.failures.failed_on(job, id) {
+            cost += FAILED_COST;
+        }
+        Some(cost)
     }
 }
 
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -276,6 +276,17 @@
 }
 
 impl JobRec {
+    /// The chunk that a task's record is in.
+    pub fn chunk_of(&self, index: u32) -> u32 {
+        index / self.chunk.max(1)
+    }
+
+    /// The tasks of a chunk.
+    pub fn tasks_of(&self, chunk: u32) -> std::ops::Range<u32> {
+        let size = self.chunk.max(1);
+        (chunk * size).min(self.count)..((chunk + 1) * size).min(self.count)
+    }
+
     /// Whether its tasks may run on a type of machine.
     pub fn allows(&self, class: &str) -> bool {
         let types = self.types.as_ref();
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -50,6 +50,18 @@
     since: Time,
 }
 
+impl Relayed {
+    /// The report, now that its holder didn't answer it.
+    fn lost(self, req: ReqId) -> LostReport {
+        LostReport {
+            req,
+            report: self.report,
+            since: self.since,
+            tried: Some(self.to),
+        }
+    }
+}
+
 /// A report that a sibling handed on: which of its processes, and which request there.
 #[derive(Debug)]
 struct Guest {
@@ -168,16 +180,14 @@
     /// been heard lately.
     fn has_next(&self, member: &Member) -> bool {
         let platform = &self.settings.platform;
+        let order = |m: &Member| (m.as_str().len(), m.0.clone());
         let siblings = platform.siblings.iter().map(|s| &s.member);
-        let mut all: Vec<&Member> = siblings.chain([&platform.member]).collect();
-        all.sort_by_key(|m| (m.as_str().len(), m.as_str()));
-        let Some(at) = all.iter().position(|m| *m == member) else {
-            return true;
-        };
-        let next = all[(at + 1) % all.len()];
+        let all = siblings.chain([&platform.member]);
+        // The first one behind it or, behind the last, the first of all.
+        let next = all.min_by_key(|m| (order(m) <= order(member), order(m)));
         let lease_s = platform.facts.workers.lease_s;
         let silent = |(_, at): &(Hello, Time)| self.now.since(*at) > lease_s;
-        !self.siblings.get(next).is_some_and(silent)
+        !next.and_then(|m| self.siblings.get(m)).is_some_and(silent)
     }
 
     /// Hands a report on to its holder, or does what can be done without it.
@@ -316,12 +326,7 @@
         let late: Vec<ReqId> = late.map(|(req, _)| *req).collect();
         for req in late {
             if let Some(r) = self.relays.out.remove(&req) {
-                self.without_holder(LostReport {
-                    req,
-                    report: r.report,
-                    since: r.since,
-                    tried: Some(r.to),
-                });
+                self.without_holder(r.lost(req));
             }
         }
     }
@@ -360,12 +365,7 @@
         };
         if answer.status == 421 {
             // It doesn't hold the block any more; who does is soon known here.
-            return self.without_holder(LostReport {
-                req,
-                report: relayed.report,
-                since: relayed.since,
-                tried: Some(relayed.to),
-            });
+            return self.without_holder(relayed.lost(req));
         }
         let reply = Reply {
             status: answer.status,
