Limits announced for later are kept to from now on; outgrown chunks are written in parts

The state service will lower its limits without notice. Values, transactions and rates are planned by the stricter of facts.state and facts.state.next. What an earlier version stored under the larger limits stays readable but can't be written again: a chunk of 60 placed tasks has 3 KiB. A 400 for size is the proof that the limits are in force; from then on such a chunk is written in parts, each of which stands before the chunk for its tasks. An older process never reads a part: the limits fall only when all have the new version. Job records are bounded by the later limit (422); an older, larger one is cut short when its job is cancelled. A plan that doesn't fit yet isn't sent.

--- a/src/core/autoscaler/plan.rs
+++ b/src/core/autoscaler/plan.rs
@@ -76,9 +76,15 @@
             closed: closed.clone(),
             ..PlanRec::default()
         };
-        let most = self.settings.platform.facts.state.value_kb * 1024.0 * PLAN_SHARE;
-        let left = (most as usize).saturating_sub(json_bytes(&plan));
+        let value_bytes = self.settings.platform.facts.state.strictest().value_bytes;
+        let most = (value_bytes as f64 * PLAN_SHARE) as usize;
+        let left = most.saturating_sub(json_bytes(&plan));
         (plan.rentals, plan.returns) = s.fit(left);
+        if json_bytes(&plan) > value_bytes {
+            // An earlier leader's rentals, from a time of larger values, wait for their answers.
+            // Once enough are answered, the rest fits.
+            return;
+        }
         let op = StateOp::Commit {
             when,
             writes: vec![Write::put(Key::Plan, Record::Plan(plan))],
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -17,7 +17,8 @@
             (n, true) => (1.0 - t.budget_holder) / f64::from(n),
         };
         let part = part * t.budget_share;
-        let (rps, wps) = (f.state.rps * part, f.state.write_rps * part);
+        let limits = f.state.strictest();
+        let (rps, wps) = (limits.rps * part, limits.write_rps * part);
         // Those who don't lead ask the cloud for its catalogue and delete machines.
         let cloud = f.cloud.rps * t.budget_share;
         let cloud = match (others, single, self.lead.is_some()) {
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -3,6 +3,7 @@
 //! `done` and `withdrawn` may be told from memory, for they are committed. Anything
 //! else another node may know better, so it needs a read no older than the question.
 
+use super::chunks::chunk_size;
 use super::*;
 use log::info;
 use std::collections::{BTreeSet, VecDeque};
@@ -67,6 +68,8 @@
 /// Most requests of a kind that wait at once, as a share of the sockets. What comes on top
 /// is told when to come back.
 const WAITING_SHARE: f64 = 0.8;
+/// Most submissions in one transaction.
+const SUBMISSIONS_MOST: usize = 8;
 /// Submissions that wait are at most what the change budget clears in this time.
 const SUBMIT_BACKLOG_S: f64 = 1.5;
 
@@ -152,7 +155,10 @@
         }
         rec.chunk = self.chunk_size();
         rec.block = self.block_for(&id);
-        let wps = self.settings.platform.facts.state.write_rps;
+        if let Some(why) = self.too_large(&rec) {
+            return self.on_question(req, id, Intent::Refuse(422, why));
+        }
+        let wps = self.settings.platform.facts.state.strictest().write_rps;
         let room = (wps * SUBMIT_BACKLOG_S) as usize;
         if self.front.submissions.len() >= room.min(self.waiting_most()).max(8) {
             return self.answer(req, Reply::later(429, 2, "too many submissions"));
@@ -172,11 +178,18 @@
         (sockets as f64 * WAITING_SHARE) as usize
     }
 
-    /// Tasks per run record: a placed task takes about 60 bytes as JSON, and half of
-    /// the value limit is left for the rest.
+    /// Tasks per run record of a job that is accepted now.
     fn chunk_size(&self) -> u32 {
-        let kb = self.settings.platform.facts.state.value_kb;
-        ((kb * 1024.0 / 120.0) as u32).clamp(1, 256)
+        let limits = self.settings.platform.facts.state.strictest();
+        chunk_size(limits.value_bytes)
+    }
+
+    /// Why a job's record can't be kept, if so.
+    fn too_large(&self, rec: &JobRec) -> Option<String> {
+        let most = self.settings.platform.facts.state.strictest().value_bytes;
+        let bytes = json_bytes(rec);
+        let why = || format!("the job's description takes {bytes} bytes, of at most {most}");
+        (bytes > most).then(why)
     }
 
     /// Why a job can never run, if so.
@@ -315,6 +328,11 @@
             };
             let mut rec = (*job.rec).clone();
             rec.withdrawn = true;
+            if self.too_large(&rec).is_some() {
+                // Accepted under a larger limit. A cancelled job starts nothing, so nobody needs
+                // to know any more where it may run.
+                rec.types = None;
+            }
             let key = Key::Job(q.id.clone());
             let op = StateOp::Commit {
                 when: vec![(key.clone(), job.revision)],
@@ -398,7 +416,8 @@
     fn pump_submissions(&mut self) {
         // What a commit of two jobs says of one applies to both, so a conflict
         // makes its jobs ask one by one. Conflicts are rare: only retries make them.
-        let most = (self.settings.platform.facts.state.txn_ops / 2).clamp(1, 8);
+        let most = self.settings.platform.facts.state.strictest().txn_ops;
+        let most = most.min(SUBMISSIONS_MOST);
         while !self.front.submissions.is_empty() {
             // A key can be written once in a transaction, and the second of two equal
             // submissions finds the first one's job.
@@ -482,8 +501,8 @@
             return false;
         };
         let here = *holder == self.settings.platform.member;
-        let chunks = self.cache.chunks(id);
-        let mut placed = chunks.flat_map(|(_, (_, run))| &run.placed);
+        let runs = job.map(|j| self.cache.effective_runs(id, &j.rec).0);
+        let mut placed = runs.iter().flatten().flat_map(|(_, _, run)| &run.placed);
         !(here || self.heartbeat_fresh(holder))
             || placed.any(|(_, _, machine, _)| overdue.contains(machine))
     }
--- a/src/core/holder/commits.rs
+++ b/src/core/holder/commits.rs
@@ -1,7 +1,8 @@
 //! How placements, results and ends are committed.
 
 use super::*;
-use log::{debug, warn};
+use crate::core::chunks::{ChunkLayout, chunk_size, ranges};
+use log::{debug, info, warn};
 
 /// One chunk in a commit, with the placements that it makes good.
 #[derive(Debug)]
@@ -67,7 +68,7 @@
         self.pump_finish();
         loop {
             let now = self.now;
-            let ops = self.settings.platform.facts.state.txn_ops;
+            let mut limits = self.flush_limits();
             let Some(h) = &mut self.holder else {
                 return;
             };
@@ -76,7 +77,8 @@
             };
             let priority = urgency.priority();
             // A larger transaction would leave a debt that urgent ones have to wait out.
-            let ops = ops.min(self.changes.largest_call(priority) as usize);
+            let largest = self.changes.largest_call(priority) as usize;
+            limits.ops = limits.ops.min(largest);
             let most = match priority {
                 Priority::Last => FLUSHES,
                 _ => FLUSHES + URGENT_FLUSHES,
@@ -87,7 +89,7 @@
             {
                 return;
             }
-            let Some((op, items)) = next_flush(h, ops, priority) else {
+            let Some((op, items)) = next_flush(h, &limits, priority) else {
                 return;
             };
             match self.state_call(op, Purpose::Flush(items), priority) {
@@ -108,6 +110,10 @@
     }
 
     pub(crate) fn on_flushed(&mut self, items: Vec<FlushItem>, reply: StateReply) {
+        if reply == StateReply::Rejected {
+            warn!("the state service takes no values of this size any more");
+            self.values_shrunk = true;
+        }
         let Some(h) = &mut self.holder else {
             return;
         };
@@ -209,7 +215,7 @@
     /// Writes the ends of jobs. The end comes first, and with it the job's record
     /// goes; chunks that don't fit into the transaction go later.
     fn pump_finish(&mut self) {
-        let ops = self.settings.platform.facts.state.txn_ops;
+        let ops = self.settings.platform.facts.state.strictest().txn_ops;
         let Some(h) = &self.holder else {
             return;
         };
@@ -330,27 +336,21 @@
 impl Holder {
     /// The present content of a chunk's record.
     fn run_rec(&self, job: &JobId, live: &JobState, chunk: u32) -> RunRec {
-        let tasks = live.rec.tasks_of(chunk);
+        let tasks = live.layout.tasks_of(chunk);
         let (failed_tries, failed_on) = self.failures.of_job(job);
-        let mut rec = RunRec {
+        let done = tasks.clone().filter(|index| live.done[*index as usize]);
+        let placed = live.placed.range(tasks);
+        let placed = placed.map(|(index, p)| {
+            let zone = p.zone.to_string();
+            (*index, p.attempt, p.machine.clone(), zone)
+        });
+        RunRec {
+            done: ranges(done),
+            placed: placed.collect(),
             failed_tries,
             failed_on,
-            ..RunRec::default()
-        };
-        for index in tasks.clone() {
-            if live.done[index as usize] {
-                match rec.done.last_mut() {
-                    Some((_, end)) if *end == index => *end += 1,
-                    _ => rec.done.push((index, index + 1)),
-                }
-            }
-        }
-        for (index, p) in live.placed.range(tasks) {
-            let zone = p.zone.to_string();
-            rec.placed
-                .push((*index, p.attempt, p.machine.clone(), zone));
+            part: live.layout.part_size(),
         }
-        rec
     }
 
     /// Queues a chunk whose commit didn't succeed, with the urgency of what it holds by now.
@@ -361,13 +361,43 @@
             return;
         };
         live.chunks.entry(chunk).or_default().busy = false;
-        let mut placed = live.placed.range(live.rec.tasks_of(chunk));
-        let urgency = if placed.any(|(_, p)| p.phase == Phase::Committing) {
-            WriteUrgency::placements(live.rec.rank)
-        } else {
-            WriteUrgency::Results
+        // A chunk that was cut into parts meanwhile is written as these.
+        for chunk in live.layout.chunks_for(chunk) {
+            let urgency = live.write_urgency(chunk);
+            self.to_flush.insert((urgency, job.clone(), chunk));
+        }
+    }
+
+    /// Queues the record of a placement that was just made.
+    pub(crate) fn write_placement(&mut self, job: &JobId, index: u32) {
+        if let Some(live) = self.jobs.get(job) {
+            let urgency = WriteUrgency::placements(live.rec.rank);
+            let chunk = live.layout.chunk_of(index);
+            self.to_flush.insert((urgency, job.clone(), chunk));
+        }
+    }
+
+    /// Turns to writing a job's chunks in parts that fit into values of so many bytes. What waits
+    /// to be written of a chunk is written with its parts, results before they are cleared.
+    fn cut_into_parts(&mut self, job: &JobId, value_bytes: usize) {
+        let Some(live) = self.jobs.get_mut(job) else {
+            return;
         };
-        self.to_flush.insert((urgency, job.clone(), chunk));
+        info!("job {job}: its records are too large to be written again, and are cut into parts");
+        live.layout = ChunkLayout::new(&live.rec, Some(chunk_size(value_bytes)));
+        let unwritten = live.chunks.iter().filter(|(_, c)| c.unwritten);
+        let mut chunks: BTreeSet<u32> = unwritten.map(|(chunk, _)| *chunk).collect();
+        let queued = self.to_flush.iter().filter(|(_, id, _)| id == job);
+        chunks.extend(queued.map(|(_, _, chunk)| *chunk));
+        self.to_flush.retain(|(_, id, _)| id != job);
+        for chunk in chunks {
+            let unwritten = live.chunks.get(&chunk).is_some_and(|c| c.unwritten);
+            for part in live.layout.chunks_for(chunk) {
+                live.chunks.entry(part).or_default().unwritten |= unwritten;
+                let urgency = live.write_urgency(part);
+                self.to_flush.insert((urgency, job.clone(), part));
+            }
+        }
     }
 
     /// Placements told to stop before their start was sent: they can't be there.
@@ -402,9 +432,40 @@
     }
 }
 
+/// What a transaction of chunks may hold.
+struct FlushLimits {
+    ops: usize,
+    /// Bytes that a value may have now, as far as is known.
+    value_bytes: usize,
+    /// Bytes that a value may have now and later.
+    strict_bytes: usize,
+}
+
+impl Core {
+    fn flush_limits(&self) -> FlushLimits {
+        let state = &self.settings.platform.facts.state;
+        let strict = state.strictest();
+        let value_bytes = if self.values_shrunk {
+            strict.value_bytes
+        } else {
+            state.value_bytes_now()
+        };
+        FlushLimits {
+            ops: strict.txn_ops,
+            value_bytes,
+            strict_bytes: strict.value_bytes,
+        }
+    }
+}
+
 /// Builds the next transaction of chunks of one priority: urgent ones don't wait until there
 /// is budget for batch work as well.
-fn next_flush(h: &mut Holder, ops: usize, priority: Priority) -> Option<(StateOp, Vec<FlushItem>)> {
+fn next_flush(
+    h: &mut Holder,
+    limits: &FlushLimits,
+    priority: Priority,
+) -> Option<(StateOp, Vec<FlushItem>)> {
+    let ops = limits.ops;
     let mut when = vec![(Key::Block(h.block), h.block_revision)];
     let (mut writes, mut items, mut bytes) = (Vec::new(), Vec::new(), 0);
     let same = |(urgency, ..): &&(WriteUrgency, JobId, u32)| urgency.priority() == priority;
@@ -424,6 +485,12 @@
         }
         let revision = live.chunks.get(chunk).map_or(0, |c| c.revision);
         let rec = h.run_rec(job, live, *chunk);
+        // Only chunks of jobs accepted under larger limits can have outgrown the present one.
+        let old = live.layout.tasks_of(*chunk).len() > chunk_size(limits.strict_bytes) as usize;
+        if old && json_bytes(&rec) > limits.value_bytes {
+            h.cut_into_parts(job, limits.strict_bytes);
+            continue;
+        }
         bytes += 60 * rec.placed.len() + 12 * rec.done.len();
         when.push((Key::Job(job.clone()), live.revision));
         when.push((Key::Run(job.clone(), *chunk), revision));
--- a/src/core/holder/intake.rs
+++ b/src/core/holder/intake.rs
@@ -53,11 +53,12 @@
             }
             return;
         }
-        let mut live = JobState::new(job, now);
         let mut doubts = Vec::new();
-        for (chunk, (revision, run)) in self.cache.chunks(id) {
+        let (runs, layout) = self.cache.effective_runs(id, &job.rec);
+        let mut live = JobState::new(job, layout, now);
+        for (chunk, revision, run) in runs {
             let entry = live.chunks.entry(chunk).or_default();
-            entry.revision = *revision;
+            entry.revision = revision;
             for (from, to) in &run.done {
                 for index in *from..(*to).min(live.rec.count) {
                     if !std::mem::replace(&mut live.done[index as usize], true) {
--- a/src/core/holder/job_state.rs
+++ b/src/core/holder/job_state.rs
@@ -1,6 +1,7 @@
 //! What a block's holder knows of one job: its tasks, its placements, and what is written.
 
 use super::*;
+use crate::core::chunks::ChunkLayout;
 
 /// How far a placement has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +38,8 @@
 #[derive(Debug)]
 pub struct JobState {
     pub rec: Rc<JobRec>,
+    /// In which records its tasks are.
+    pub layout: ChunkLayout,
     pub revision: u64,
     /// Order of arrival: the revision of its acceptance.
     pub arrival: u64,
@@ -66,9 +69,10 @@
 }
 
 impl JobState {
-    pub(super) fn new(job: &jobs::CachedJob, now: Time) -> Self {
+    pub(super) fn new(job: &jobs::CachedJob, layout: ChunkLayout, now: Time) -> Self {
         Self {
             rec: job.rec.clone(),
+            layout,
             revision: job.revision,
             arrival: job.revision,
             since: now,
@@ -89,6 +93,16 @@
         !self.done[index as usize] && !self.placed.contains_key(&index)
     }
 
+    /// How soon the present state of a chunk or part is to be written.
+    pub(super) fn write_urgency(&self, chunk: u32) -> WriteUrgency {
+        let mut placed = self.placed.range(self.layout.tasks_of(chunk));
+        if placed.any(|(_, p)| p.phase == Phase::Committing) {
+            WriteUrgency::placements(self.rec.rank)
+        } else {
+            WriteUrgency::Results
+        }
+    }
+
     /// Whether one of its tasks has been started and may yet fail.
     pub(crate) fn trying(&self) -> bool {
         self.placed.values().any(|p| !p.runs_well)
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -192,7 +192,7 @@
         let Some(live) = self.jobs.get(&task.job) else {
             return false;
         };
-        let chunk = live.rec.chunk_of(task.index);
+        let chunk = live.layout.chunk_of(task.index);
         let busy = live.chunks.get(&chunk).is_some_and(|c| c.busy);
         match live.placed.get(&task.index).map(|p| p.phase) {
             Some(Phase::Ready) => true,
@@ -236,7 +236,7 @@
             _ => return self.take(now, task),
         }
         live.done_count += 1;
-        let chunk = live.rec.chunk_of(task.index);
+        let chunk = live.layout.chunk_of(task.index);
         live.chunks.entry(chunk).or_default().unwritten = true;
         let all = live.done_count == live.rec.count;
         if all && live.withdrawn.is_none() {
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,5 +1,6 @@
 //! What this controller knows of the state service's content, by following it.
 
+use crate::core::chunks::{ChunkLayout, EffectiveRun, effective_runs};
 use crate::core::records::*;
 use crate::ids::*;
 use crate::wire::Change;
@@ -194,11 +195,20 @@
             .map(|((_, chunk), run)| (*chunk, run))
     }
 
+    /// What a job's records say together, and how they are laid out.
+    pub fn effective_runs(&self, id: &JobId, rec: &JobRec) -> (Vec<EffectiveRun<'_>>, ChunkLayout) {
+        effective_runs(rec, self.chunks(id))
+    }
+
     /// Finished and placed tasks as far as they are written.
     pub fn counts(&self, id: &JobId) -> (u32, u32) {
-        self.chunks(id).fold((0, 0), |(done, placed), (_, (_, r))| {
-            let ended: u32 = r.done.iter().map(|(a, b)| b.saturating_sub(*a)).sum();
-            (done + ended, placed + r.placed.len() as u32)
+        let Some(job) = self.jobs.get(id) else {
+            return (0, 0);
+        };
+        let (runs, _) = self.effective_runs(id, &job.rec);
+        runs.iter().fold((0, 0), |(done, placed), (_, _, run)| {
+            let ended: u32 = run.done.iter().map(|(a, b)| b.saturating_sub(*a)).sum();
+            (done + ended, placed + run.placed.len() as u32)
         })
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod blocks;
 pub mod budget;
 mod calls;
+pub mod chunks;
 mod election;
 pub mod failures;
 pub mod fleet;
@@ -245,6 +246,9 @@
     /// When a worker last reported here.
     worker_heard: Time,
     housekeeping_at: Time,
+    /// Whether the state service has refused a value for its size: the limits that were
+    /// announced are in force.
+    values_shrunk: bool,
     /// Machines looked at to place tasks, in all, and tasks placed.
     pub(crate) looked: u64,
     pub(crate) placed: u64,
@@ -296,6 +300,7 @@
             plan_seen: 0,
             worker_heard: Time(0),
             housekeeping_at: Time(0),
+            values_shrunk: false,
             looked: 0,
             placed: 0,
         };
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -9,7 +9,7 @@
 mod scoring;
 
 use super::fleet::Machine;
-use super::holder::{JobState, Phase, Placement, WriteUrgency};
+use super::holder::{JobState, Phase, Placement};
 use super::*;
 use log::debug;
 use preemption::cheapest_victims;
@@ -156,9 +156,7 @@
                 runs_well: false,
             };
             h.put(id, index, placement);
-            let chunk = rec.chunk_of(index);
-            let urgency = WriteUrgency::placements(rec.rank);
-            h.to_flush.insert((urgency, id.clone(), chunk));
+            h.write_placement(id, index);
             // Only this machine costs something else now.
             let live = &h.jobs[id];
             let cost = h
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,6 +1,7 @@
 //! What the controllers keep at the state service. All keys share one prefix, so
 //! that one follow sees every change.
 
+use crate::core::chunks::ranges;
 use crate::ids::{Attempt, Image, JobId, MachineId, Member, Number};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -276,17 +277,6 @@
 }
 
 impl JobRec {
-    /// The chunk that a task's record is in.
-    pub fn chunk_of(&self, index: u32) -> u32 {
-        index / self.chunk.max(1)
-    }
-
-    /// The tasks of a chunk.
-    pub fn tasks_of(&self, chunk: u32) -> std::ops::Range<u32> {
-        let size = self.chunk.max(1);
-        (chunk * size).min(self.count)..((chunk + 1) * size).min(self.count)
-    }
-
     /// Whether its tasks may run on a type of machine.
     pub fn allows(&self, class: &str) -> bool {
         let types = self.types.as_ref();
@@ -309,6 +299,22 @@
     /// Machines on which the job's tasks failed, within a bound.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed_on: Vec<MachineId>,
+    /// Tasks of a part, if this is one. It alone speaks of its tasks then; the record of its
+    /// chunk, which couldn't be written any more, is passed over for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<u32>,
+}
+
+impl RunRec {
+    /// What is left when these tasks are passed over.
+    pub fn without(&self, passed: &[std::ops::Range<u32>]) -> Self {
+        let spoken_of = |index: &u32| !passed.iter().any(|tasks| tasks.contains(index));
+        let mut rec = self.clone();
+        rec.placed.retain(|(index, ..)| spoken_of(index));
+        let done = self.done.iter().flat_map(|(from, to)| *from..*to);
+        rec.done = ranges(done.filter(spoken_of));
+        rec
+    }
 }
 
 fn is_zero(count: &u32) -> bool {
--- a/src/core/workers/commands.rs
+++ b/src/core/workers/commands.rs
@@ -133,7 +133,7 @@
     // A result is cleared only once it is written: after a clear, nothing else
     // tells that the task is done.
     let unwritten = live.is_some_and(|l| {
-        let chunk = l.rec.chunk_of(task.index);
+        let chunk = l.layout.chunk_of(task.index);
         t.cause == Some(Cause::Done)
             && l.withdrawn.is_none()
             && l.chunks.get(&chunk).is_some_and(|c| c.unwritten)
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -81,6 +81,8 @@
     TooOld,
     /// A grant that is over.
     NoGrant,
+    /// 400: not executed, and never will be as it is: beyond a limit of size.
+    Rejected,
     /// 429 or 503: not executed.
     Refused,
     /// No answer: may have been executed, or may be yet.
@@ -211,7 +213,7 @@
                     failed: b.failed.iter().filter_map(|p| Key::parse(p)).collect(),
                 })
             }
-            (Self::Commit { .. }, 400) => Some(StateReply::NoGrant),
+            (Self::Commit { .. }, 400) => Some(rejected(body)),
             (Self::Grant { .. }, 200) => {
                 decode::<HoldBody>(body).map(|b| StateReply::Granted(b.hold))
             }
@@ -246,6 +248,23 @@
     })
 }
 
+/// What a 400 to a transaction says: a lease is over, or a limit of size is passed.
+fn rejected(body: &[u8]) -> StateReply {
+    match decode::<ErrorBody>(body) {
+        Some(body) if body.error == NO_LEASE => StateReply::NoGrant,
+        _ => StateReply::Rejected,
+    }
+}
+
+/// The error of a transaction that attaches a key to a lease which is over.
+const NO_LEASE: &str = "no such lease";
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    #[serde(default)]
+    error: String,
+}
+
 #[derive(Deserialize)]
 struct RevisionBody {
     #[serde(rename = "ledger")]
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -398,6 +398,31 @@
         ("\"lease_s\":10", "\"lease_s\":40", "facts.workers.cancel_s"),
         ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "facts.zones"),
         ("\"txn_ops\":16", "\"txn_ops\":1", "facts.state.txn_ops"),
+        (
+            "\"txn_ops\":16",
+            "\"txn_ops\":16,\"next\":{\"txn_ops\":3}",
+            "facts.state.next.txn_ops",
+        ),
+        (
+            "\"txn_ops\":16",
+            "\"txn_ops\":16,\"next\":{\"value_kb\":0}",
+            "facts.state.next.value_kb",
+        ),
+        (
+            "\"txn_ops\":16",
+            "\"txn_ops\":16,\"next\":{\"write_rps\":-1}",
+            "facts.state.next.write_rps",
+        ),
+        (
+            "\"txn_ops\":16",
+            "\"txn_ops\":16,\"next\":{\"rps\":0}",
+            "facts.state.next.rps",
+        ),
+        (
+            "\"txn_ops\":16",
+            "\"txn_ops\":16,\"next\":{\"rps\":\"many\"}",
+            "line",
+        ),
         (
             "\"max_sockets\":500",
             "\"max_sockets\":3",
@@ -424,6 +449,26 @@
     }
 }
 
+/// Everything is planned by the stricter of the present and the announced limits.
+#[test]
+fn announced_limits_count_where_they_are_stricter() {
+    let strictest = |next: &str| {
+        let text = PLATFORM.replace("\"txn_ops\":16", &format!("\"txn_ops\":16{next}"));
+        let platform = Platform::parse(&text, "f.json").expect("good settings");
+        platform.facts.state.strictest()
+    };
+    let present = strictest("");
+    assert_eq!((present.txn_ops, present.value_bytes), (16, 8192));
+    assert_eq!((present.rps, present.write_rps), (150.0, 60.0));
+    assert_eq!(strictest(",\"next\":null"), present);
+    assert_eq!(strictest(",\"next\":{}"), present);
+    let larger = ",\"next\":{\"value_kb\":64,\"txn_ops\":64,\"rps\":900,\"write_rps\":900}";
+    assert_eq!(strictest(larger), present);
+    let later = strictest(",\"next\":{\"value_kb\":2,\"txn_ops\":5,\"write_rps\":42}");
+    assert_eq!((later.txn_ops, later.value_bytes), (5, 2048));
+    assert_eq!((later.rps, later.write_rps), (150.0, 42.0));
+}
+
 /// The figures that follow from the platform's settings, at sizes unlike each other.
 #[test]
 fn blocks_and_ceiling_follow_the_settings() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -280,6 +280,14 @@
             }
             true
         }
+        "rejected-at-most" => world.state.rejected <= l[1].parse().expect("a count"),
+        "limited-at-most" => {
+            let limited = world.state.limited;
+            if limited > l[1].parse().expect("a count") {
+                return Err(format!("expected: {}, was {limited}", l.join(" ")));
+            }
+            true
+        }
         "starts-at-most" => world.checker.starts <= l[1].parse().expect("a count"),
         "numbers-at-most" => world.numbers.len() <= l[1].parse().expect("a count"),
         "no-takeover" => world.numbers.len() == 1,
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -2,6 +2,7 @@
 
 use salttrestle::core::CallId;
 use salttrestle::core::records::{Key, PREFIX, Record};
+use salttrestle::settings::NextStateLimits;
 use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
 use std::collections::BTreeMap;
 
@@ -27,6 +28,13 @@
     pub kept: usize,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Changes a second, once limits have fallen, and how many more it takes just now.
+    pub write_rps: Option<f64>,
+    pub write_tokens: f64,
+    pub write_at: u64,
+    /// Transactions beyond a limit that has fallen: of size, of changes a second.
+    pub rejected: usize,
+    pub limited: usize,
     /// Requests that went beyond a limit of size, or that lack a condition on what they rest on.
     pub defects: Vec<String>,
 }
@@ -76,6 +84,31 @@
         }
     }
 
+    /// The limits fall. What is stored stays readable.
+    pub fn lower_limits(&mut self, now: u64, limits: NextStateLimits) {
+        self.value_kb = limits.value_kb.unwrap_or(self.value_kb);
+        self.txn_ops = limits.txn_ops.unwrap_or(self.txn_ops);
+        self.write_rps = limits.write_rps;
+        self.write_tokens = limits.write_rps.unwrap_or(0.0);
+        self.write_at = now;
+    }
+
+    /// Whether so many changes are beyond the lowered rate, of which a second's worth may come
+    /// at once.
+    fn over_rate(&mut self, now: u64, changes: usize) -> bool {
+        let Some(rate) = self.write_rps else {
+            return false;
+        };
+        let gained = (now - self.write_at) as f64 / 1e3 * rate;
+        self.write_tokens = (self.write_tokens + gained).min(rate);
+        self.write_at = now;
+        if self.write_tokens < changes as f64 {
+            return true;
+        }
+        self.write_tokens -= changes as f64;
+        false
+    }
+
     pub fn end_outage(&mut self, now: u64) {
         self.outage = false;
         for (end, ttl) in self.grants.values_mut() {
@@ -103,6 +136,12 @@
             };
         }
         self.expire(now);
+        if let StateOp::Commit { writes, .. } = op
+            && self.over_rate(now, writes.len())
+        {
+            self.limited += 1;
+            return Some(StateReply::Refused);
+        }
         Some(match op {
             StateOp::Fresh => StateReply::Missing {
                 revision: self.revision,
@@ -181,7 +220,12 @@
         for w in writes {
             if let Write::Put { key, record, .. } = w {
                 let size = serde_json::to_string(&record_value(record)).map_or(0, |s| s.len());
-                if size as f64 > self.value_kb * 1024.0 {
+                let too_large = size as f64 > self.value_kb * 1024.0;
+                if too_large && self.write_rps.is_some() {
+                    self.rejected += 1;
+                    return StateReply::Rejected;
+                }
+                if too_large {
                     self.defects.push(format!("{key} has {size} bytes"));
                 }
             }
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -5,7 +5,7 @@
 use super::users::{Intent, edited};
 use super::world::{Args, Ev, Origin, Spec, World, arg, ms, num};
 use ciborium::Value;
-use salttrestle::core::records::{JobRec, Room};
+use salttrestle::core::records::{JobRec, Key, Record, Room};
 use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::JobId;
 use salttrestle::wire::{Report, StateOp, StateReply};
@@ -60,7 +60,15 @@
 /// How long a line's trouble lasts; lines that are none last for no time.
 pub fn trouble_ms(line: &[String]) -> u64 {
     let rest = [
-        "submit", "withdraw", "poll", "again", "mangled", "probe", "stream", "capacity",
+        "submit",
+        "withdraw",
+        "poll",
+        "again",
+        "mangled",
+        "probe",
+        "stream",
+        "capacity",
+        "limits-fall",
     ];
     if rest.contains(&line[0].as_str()) {
         return 0;
@@ -307,6 +315,16 @@
     // ---- what took place
 
     /// How often something took place, between two moments if they are given.
+    /// Jobs of which a record is cut into parts.
+    fn jobs_in_parts(&self) -> usize {
+        let records = self.state.log.iter();
+        let parts = records.filter_map(|(key, _, record)| match (key, record) {
+            (Key::Run(id, _), Some(Record::Run(run))) if run.part.is_some() => Some(id),
+            _ => None,
+        });
+        parts.collect::<BTreeSet<&JobId>>().len()
+    }
+
     pub fn count_met(&self, what: &str, args: Args) -> Option<usize> {
         let (from, to) = (ms(num(args, "from", 0.0)), ms(num(args, "to", 1e6)));
         let within = |at: &u64| (from..=to).contains(at);
@@ -322,6 +340,8 @@
             "kept-reports" => self.met.kept_reports,
             "looks" => self.met.looks,
             "odd" => self.met.odd,
+            "rejected" => self.state.rejected,
+            "in-parts" => self.jobs_in_parts(),
             "cancelled-at-end" => self.met.cancelled_at_end,
             "takeovers" => self.met.takeovers.iter().filter(|at| within(at)).count(),
             "cancels" => jobs.filter_map(|j| j.cancel_asked).filter(within).count(),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -13,7 +13,7 @@
 use salttrestle::core::records::Room;
 use salttrestle::core::{CallId, Core, Input, Link, Output, Reply, ReqId};
 use salttrestle::ids::{JobId, Time};
-use salttrestle::settings::{Platform, Settings, Tuning};
+use salttrestle::settings::{NextStateLimits, Platform, Settings, Tuning};
 use salttrestle::wire::{self, ClassInfo, CloudOp, CloudReply, StateOp, StateReply};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -92,6 +92,9 @@
     /// It stands still until then, while its clock runs on.
     frozen_until: u64,
     woken_for: u64,
+    /// Whether its settings announce the limits to come. Before, it acts as the version that
+    /// knew nothing of them: it accepts jobs whose records outgrow these.
+    announced: bool,
 }
 
 pub struct World {
@@ -108,6 +111,8 @@
     /// Nodes stand in them in turn.
     zones: Vec<String>,
     platform: serde_json::Value,
+    /// Limits that the state service will have.
+    next: Option<NextStateLimits>,
     tuning: String,
     pub state: StateService,
     pub cloud: Cloud,
@@ -251,6 +256,7 @@
             refused_until: 0,
             frozen_until: 0,
             woken_for: 0,
+            announced: one("next").is_some() && !one("next").is_some_and(|l| flag(l, "later")),
         });
         let mut world = Self {
             now: 0,
@@ -263,6 +269,12 @@
             refused_links: BTreeSet::new(),
             zones,
             platform,
+            next: one("next").map(|l| NextStateLimits {
+                rps: None,
+                write_rps: Some(num(l, "write", 42.0)),
+                value_kb: Some(num(l, "kb", 2.0)),
+                txn_ops: Some(num(l, "ops", 4.0) as usize),
+            }),
             tuning,
             state: StateService {
                 kept: 10_000,
@@ -440,6 +452,10 @@
         p["listen"] = format!("10.0.0.{}:8080", n + 1).into();
         p["peer_listen"] = format!("10.0.0.{}:8081", n + 1).into();
         p["siblings"] = siblings.into();
+        if let Some(next) = self.next.filter(|_| self.nodes[n].announced) {
+            p["facts"]["state"]["next"] = serde_json::json!({"write_rps": next.write_rps,
+                "value_kb": next.value_kb, "txn_ops": next.txn_ops});
+        }
         let platform = Platform::parse(&p.to_string(), "scenario").expect("good settings");
         let tuning = Tuning::parse(Some(("scenario", &self.tuning))).expect("good tuning");
         self.nodes[n].boot += 1;
@@ -816,6 +832,17 @@
                 let n = self.node_arg(&args[0]);
                 self.kill(n, ms(num(args, "down", 3.0)));
             }
+            // It ends, and comes back with settings that announce the limits to come.
+            "upgrade" => {
+                let n = self.node_arg(&args[0]);
+                self.nodes[n].announced = true;
+                self.kill(n, ms(num(args, "down", 3.0)));
+            }
+            "limits-fall" => {
+                let now = self.now;
+                let next = self.next.expect("next limits");
+                self.state.lower_limits(now, next);
+            }
             "freeze" => {
                 let n = self.node_arg(&args[0]);
                 self.nodes[n].frozen_until = until;
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -1,8 +1,12 @@
 //! The bytes of each stored record and of each message between controllers, as processes that
 //! run now write and send them. A change of names or of field order that alters one of them
 //! needs a form that still reads the old bytes, or a new version of the messages.
+//!
+//! The bytes are those that commit 2175c80, in production before the upgrade to pipelines, writes
+//! and sends, but for [`RUN_PART`], which is newer.
 
 use salttrestle::core::ReqId;
+use salttrestle::core::chunks::{ChunkLayout, effective_runs};
 use salttrestle::core::records::*;
 use salttrestle::ids::{Attempt, Image, MachineId, Member, Number};
 use salttrestle::peer::{
@@ -120,6 +124,52 @@
     run.failed_tries = 2;
     run.failed_on = vec![machine()];
     check_record(&run, FAILED_RUN);
+    run.part = Some(17);
+    check_record(&run, RUN_PART);
+}
+
+/// A chunk that was written under a larger limit on values, and the parts that stand for it.
+#[test]
+fn parts_stand_before_their_chunk() {
+    let rec = JobRec { count: 70, ..job() };
+    let placed = |indexes: std::ops::Range<u32>, attempt| {
+        let task = |index| (index, Attempt(attempt), machine(), String::from("a"));
+        indexes.map(task).collect::<Vec<Placed>>()
+    };
+    let chunk = RunRec {
+        done: vec![(0, 4)],
+        placed: placed(4..68, 1),
+        ..RunRec::default()
+    };
+    let part = RunRec {
+        done: vec![(20, 30)],
+        placed: placed(30..34, 2),
+        part: Some(17),
+        ..RunRec::default()
+    };
+    let last = RunRec {
+        part: Some(17),
+        ..RunRec::default()
+    };
+    let runs = [
+        (0, (5, chunk)),
+        (ChunkLayout::PART_BASE + 17, (9, part)),
+        (ChunkLayout::PART_BASE + 68, (9, last)),
+    ];
+    let (effective, layout) = effective_runs(&rec, runs.iter().map(|(chunk, run)| (*chunk, run)));
+    assert_eq!(effective[0].2.done, [(0, 4)]);
+    let of_chunk = effective[0].2.placed.iter().map(|p| p.0);
+    assert!(of_chunk.eq((4..17).chain(34..68)));
+    assert_eq!(effective[1].2.placed.len(), 4);
+    assert_eq!(effective.iter().map(|run| run.1).max(), Some(9));
+    assert_eq!(layout.chunk_of(33), ChunkLayout::PART_BASE + 17);
+    assert_eq!(layout.chunk_of(67), ChunkLayout::PART_BASE + 51);
+    assert_eq!(layout.chunk_of(69), ChunkLayout::PART_BASE + 68);
+    // A part ends with its chunk, and the last one with the job.
+    assert_eq!(layout.tasks_of(ChunkLayout::PART_BASE + 51), 51..68);
+    assert_eq!(layout.tasks_of(ChunkLayout::PART_BASE + 68), 68..70);
+    assert_eq!(layout.chunks_for(1), [ChunkLayout::PART_BASE + 68]);
+    assert_eq!(ChunkLayout::new(&rec, None).chunks_for(1), [1]);
 }
 
 fn check_message(message: &Message, bytes: &str) {
@@ -200,6 +250,7 @@
 const WITHDRAWN: &str = "6957697468647261776e";
 const RUN: &str = "a264646f6e658182000366706c61636564818404186368692d3030303233316161";
 const FAILED_RUN: &str = "a464646f6e658182000366706c61636564818404186368692d30303032333161616c6661696c65645f747269657302696661696c65645f6f6e8168692d303030323331";
+const RUN_PART: &str = "a564646f6e658182000366706c61636564818404186368692d30303032333161616c6661696c65645f747269657302696661696c65645f6f6e8168692d303030323331647061727411";
 const HELLO: &str = "0000005504000d74726573746c6568616e642d3007010d74726573746c6568616e642d300100290d74726573746c6568616e642d300114010001e807010d74726573746c6568616e642d3108840788270108692d303030323331";
 const BEAT: &str = "0000004d04020d74726573746c6568616e642d30070308692d3030303233310f31302e312e302e3233323a39303030026738016101015829010000000000002940010b776b2d3030303339382f3001030100";
 const BEAT_ANSWER: &str = "0000000904030703c80101a00102";
--- a/tests/wire_words.rs
+++ b/tests/wire_words.rs
@@ -73,6 +73,11 @@
             failed: vec![end()]
         }
     );
+    let over = body(cbor!({"error" => "no such lease"}));
+    assert_eq!(commit.reply(400, &over), StateReply::NoGrant);
+    let large = body(cbor!({"error" => "value too large"}));
+    assert_eq!(commit.reply(400, &large), StateReply::Rejected);
+    assert_eq!(commit.reply(400, &[]), StateReply::Rejected);
     let page = body(cbor!({
         "entries" => [{"path" => "s/end/wk-1", "data" => "Done", "mark" => 5}],
         "hasNext" => true, "ledger" => 431
