Pipelines: jobs that need others start when these are done and are cancelled with them

A submission names the jobs that it needs; each must have been accepted. What follows is derived from the records: a job is released once end/ID says done of each that it needs, and cancelled as soon as one of them is marked or ended as cancelled. Waiting jobs count nowhere: not queued, no limit, no demand. A job has the highest rank of the open ones that need it. Nobody is told queued of a job that is cancelled with another, or that may be.

--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -113,6 +113,8 @@
             Purpose::Submit(list) => self.on_submitted(list, reply, sent),
             Purpose::Withdraw(q) => self.on_withdrawn(q, reply),
             Purpose::ReadEnd(q) => self.on_end_read(q, reply),
+            Purpose::ReadNamed(naming, need) => self.on_named_read(*naming, need, reply),
+            Purpose::ReadNeed(need) => self.on_need_read(need, reply),
             Purpose::Plan => self.on_planned(reply),
             Purpose::Lease => self.on_leased(reply),
             Purpose::Release => {}
--- /dev/null
+++ b/src/core/dependencies.rs
@@ -0,0 +1,215 @@
+//! Jobs that have to be done before others start, and what follows for those others.
+//!
+//! A job may start once each job that it needs has ended as done, which a committed `end/ID` says
+//! and nothing else does. A job that needs a cancelled one is cancelled with it: from the moment
+//! at which the cancelled one can't end as done any more, that is, once its record is marked or
+//! its end is committed. All of this is derived from the records whenever they change, so nobody
+//! has to remember what is left to do when a controller ends.
+
+use super::jobs::{Cache, CachedJob};
+use super::records::{Ending, JobRec, Rank};
+use crate::ids::JobId;
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// What is known of the jobs that a job needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Needs {
+    /// All are done: the job may start.
+    Met,
+    /// Some aren't over yet.
+    Open,
+    /// Of some it isn't known whether and how they ended.
+    Unknown,
+    /// One is cancelled: the job is cancelled with it.
+    Cancelled,
+}
+
+/// Who needs whom among the jobs that aren't over.
+#[derive(Debug, Default)]
+pub struct Dependencies {
+    /// For each job that is needed: those that need it.
+    dependents: HashMap<JobId, BTreeSet<JobId>>,
+    /// Jobs that are cancelled with one that they need.
+    cancelled: HashSet<JobId>,
+    /// Needed jobs of which neither a live record nor an end is known: their ends are to be read.
+    unread: BTreeSet<JobId>,
+    /// Jobs for which something changed through a job that they need or that needs them.
+    affected: BTreeSet<JobId>,
+}
+
+impl Cache {
+    /// What is known of the jobs that this one needs.
+    pub fn needs(&self, rec: &JobRec) -> Needs {
+        let mut needs = Needs::Met;
+        for id in &rec.needs {
+            match self.ending(id).map(|(ending, _)| ending) {
+                Some(Ending::Done) => {}
+                Some(Ending::Withdrawn) => return Needs::Cancelled,
+                None if self.is_cancelled(id) => return Needs::Cancelled,
+                None if !self.jobs.contains_key(id) => needs = Needs::Unknown,
+                None if needs == Needs::Met => needs = Needs::Open,
+                None => {}
+            }
+        }
+        needs
+    }
+
+    /// Whether a job is known to have been accepted.
+    pub fn accepted(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id) || self.ending(id).is_some()
+    }
+
+    /// Whether a job that isn't over can't end as done any more: it is cancelled, or one that it
+    /// needs is.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        let marked = self.jobs.get(id).is_some_and(|j| j.withdrawn.is_some());
+        marked || self.is_cancelled_by_need(id)
+    }
+
+    /// Whether a job that isn't over is cancelled with one that it needs.
+    pub fn is_cancelled_by_need(&self, id: &JobId) -> bool {
+        self.dependencies.cancelled.contains(id)
+    }
+
+    /// Whether a job may be cancelled with one that it needs, directly or through others, of which
+    /// too little is known here.
+    pub fn may_be_cancelled(&self, id: &JobId) -> bool {
+        if self.dependencies.unread.is_empty() {
+            return false;
+        }
+        let (mut left, mut seen) = (vec![id], HashSet::new());
+        while let Some(id) = left.pop() {
+            if self.dependencies.unread.contains(id) {
+                return true;
+            }
+            if let Some(job) = self.jobs.get(id).filter(|_| seen.insert(id)) {
+                left.extend(&job.rec.needs);
+            }
+        }
+        false
+    }
+
+    /// Needed jobs whose ends are to be read.
+    pub fn unread_needs(&self) -> &BTreeSet<JobId> {
+        &self.dependencies.unread
+    }
+
+    /// Jobs for which something changed, since this was last asked, through a job that they need
+    /// or that needs them.
+    pub fn take_affected(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.dependencies.affected)
+    }
+
+    /// Takes note of a job that is new here.
+    pub(super) fn link(&mut self, id: &JobId) {
+        let Some(rec) = self.jobs.get(id).map(|j| j.rec.clone()) else {
+            return;
+        };
+        self.dependencies.unread.remove(id);
+        for need in &rec.needs {
+            let dependents = &mut self.dependencies.dependents;
+            dependents
+                .entry(need.clone())
+                .or_default()
+                .insert(id.clone());
+            self.look_for_end(need);
+        }
+        if self.needs(&rec) == Needs::Cancelled {
+            self.cancel(id);
+        }
+        self.update_ranks(vec![id.clone()]);
+        self.update_ranks(rec.needs.clone());
+    }
+
+    /// Takes note of a job that is over, of which an end may be known.
+    pub(super) fn unlink(&mut self, id: &JobId, job: &CachedJob) {
+        self.dependencies.cancelled.remove(id);
+        for need in &job.rec.needs {
+            if let Some(dependents) = self.dependencies.dependents.get_mut(need) {
+                dependents.remove(id);
+                if dependents.is_empty() {
+                    self.dependencies.dependents.remove(need);
+                    self.dependencies.unread.remove(need);
+                }
+            }
+        }
+        self.update_ranks(job.rec.needs.clone());
+        self.look_for_end(id);
+    }
+
+    /// Takes note of how a job ended.
+    pub(super) fn note_end(&mut self, id: &JobId, ending: Ending) {
+        self.dependencies.unread.remove(id);
+        match ending {
+            Ending::Done => {
+                let dependents = self.dependents(id);
+                self.dependencies.affected.extend(dependents);
+            }
+            Ending::Withdrawn => self.cancel_dependents(id),
+        }
+    }
+
+    /// Takes note that a job's record was marked as cancelled.
+    pub(super) fn note_mark(&mut self, id: &JobId) {
+        self.cancel_dependents(id);
+        self.update_ranks(self.needs_of(id));
+    }
+
+    fn dependents(&self, id: &JobId) -> Vec<JobId> {
+        let dependents = self.dependencies.dependents.get(id);
+        dependents.into_iter().flatten().cloned().collect()
+    }
+
+    /// Has the end of a job read that is needed and of which nothing is known.
+    pub(super) fn look_for_end(&mut self, id: &JobId) {
+        let needed = self.dependencies.dependents.contains_key(id);
+        if needed && !self.jobs.contains_key(id) && self.ending(id).is_none() {
+            self.dependencies.unread.insert(id.clone());
+        }
+    }
+
+    /// Cancels a job, and all that need it, directly or through others.
+    fn cancel(&mut self, id: &JobId) {
+        let mut left = vec![id.clone()];
+        while let Some(id) = left.pop() {
+            if self.jobs.contains_key(&id) && self.dependencies.cancelled.insert(id.clone()) {
+                left.extend(self.dependents(&id));
+                self.update_ranks(self.needs_of(&id));
+                self.dependencies.affected.insert(id);
+            }
+        }
+    }
+
+    fn cancel_dependents(&mut self, id: &JobId) {
+        for dependent in self.dependents(id) {
+            self.cancel(&dependent);
+        }
+    }
+
+    fn needs_of(&self, id: &JobId) -> Vec<JobId> {
+        let job = self.jobs.get(id);
+        job.map_or(Vec::new(), |j| j.rec.needs.clone())
+    }
+
+    /// Finds the highest rank of each of these jobs and of the open ones that need it, and tells
+    /// it on to those that they need themselves.
+    fn update_ranks(&mut self, mut left: Vec<JobId>) {
+        while let Some(id) = left.pop() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let dependents = self.dependencies.dependents.get(&id);
+            let open = dependents.into_iter().flatten();
+            let open = open.filter(|d| !self.is_cancelled(d));
+            let ranks = open.filter_map(|d| self.jobs.get(d).map(|j| j.rank));
+            let rank = ranks.fold(job.rec.rank, Rank::max);
+            if rank != job.rank {
+                left.extend(self.needs_of(&id));
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.rank = rank;
+                }
+                self.dependencies.affected.insert(id);
+            }
+        }
+    }
+}
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -158,6 +158,13 @@
         );
     }
 
+    /// Replaces the description of a task's job.
+    pub(crate) fn reseat(&mut self, task: &TaskId, rec: &Rc<JobRec>) {
+        if let Some(seat) = self.tasks.get_mut(task) {
+            seat.rec = rec.clone();
+        }
+    }
+
     pub(crate) fn unseat(&mut self, now: Time, task: &TaskId) {
         if let Some(seat) = self.tasks.remove(task) {
             self.used.add(seat.rec.need, -1.0);
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -4,6 +4,7 @@
 //! else another node may know better, so it needs a read no older than the question.
 
 use super::chunks::chunk_size;
+use super::dependencies::Needs;
 use super::*;
 use log::info;
 use std::collections::{BTreeSet, VecDeque};
@@ -17,6 +18,16 @@
     asked: Time,
 }
 
+/// A submission that names jobs which are looked up first: those that were accepted before it
+/// came are known once a read that was sent after it has been caught up with, or their ends are
+/// read.
+#[derive(Debug)]
+pub(crate) struct NamingSubmission {
+    submission: Submission,
+    /// The last call sent before it came.
+    after: CallId,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Intent {
     /// The present state.
@@ -48,7 +59,10 @@
     /// Questions whose job isn't among the live ones: its end is still to be read.
     unknown: VecDeque<Question>,
     withdrawals: VecDeque<Question>,
-    /// Withdrawals that are marked, and told once no task of their job is left.
+    /// Submissions that name jobs of which it isn't known here that they were accepted.
+    naming: VecDeque<NamingSubmission>,
+    /// Withdrawals that are marked, and told once no task of their job is left; and questions
+    /// about jobs that are cancelled with one that they need, until their end is committed.
     leaving: VecDeque<Question>,
     /// The last call sent before the newest request came that isn't a mere question: a
     /// cancellation, or a submission that has to be looked up.
@@ -160,7 +174,9 @@
         }
         let wps = self.settings.platform.facts.state.strictest().write_rps;
         let room = (wps * SUBMIT_BACKLOG_S) as usize;
-        if self.front.submissions.len() >= room.min(self.waiting_most()).max(8) {
+        if self.front.submissions.len() + self.front.naming.len()
+            >= room.min(self.waiting_most()).max(8)
+        {
             return self.answer(req, Reply::later(429, 2, "too many submissions"));
         }
         let asked = self.now;
@@ -170,7 +186,91 @@
             rec,
             asked,
         };
-        self.front.submissions.push_back(submission);
+        if submission.rec.needs.is_empty() {
+            self.front.submissions.push_back(submission);
+        } else {
+            self.check_needs(submission);
+        }
+    }
+
+    /// Takes a submission whose needed jobs are all known to be accepted, and looks the others up.
+    fn check_needs(&mut self, submission: Submission) {
+        let needs = &submission.rec.needs;
+        let mut live = needs.iter().filter_map(|n| self.cache.jobs.get(n));
+        let why = if needs.contains(&submission.id) {
+            Some("a job can't need itself")
+        } else if live.any(|j| j.rec.form == Form::Service) {
+            Some("a service is never done, so no job can need one")
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            let refuse = Intent::Refuse(422, why.into());
+            return self.on_question(submission.req, submission.id, refuse);
+        }
+        if needs.iter().all(|need| self.cache.accepted(need)) {
+            return self.front.submissions.push_back(submission);
+        }
+        let after = self.last_call();
+        self.front.urgent = Some(after);
+        let naming = NamingSubmission { submission, after };
+        self.front.naming.push_back(naming);
+    }
+
+    /// Goes on with submissions whose needed jobs are known by now, or of which an end has to be
+    /// read.
+    fn pump_naming(&mut self) {
+        let fresh = self.fresh_call;
+        for naming in std::mem::take(&mut self.front.naming) {
+            if naming.after >= fresh {
+                self.front.naming.push_back(naming);
+                continue;
+            }
+            let needs = &naming.submission.rec.needs;
+            let Some(need) = needs
+                .iter()
+                .find(|need| !self.cache.accepted(need))
+                .cloned()
+            else {
+                self.check_needs(naming.submission);
+                continue;
+            };
+            let op = StateOp::Get(Key::End(need.clone()));
+            let purpose = Purpose::ReadNamed(Box::new(naming), need);
+            if let Err(Purpose::ReadNamed(naming, _)) =
+                self.state_call(op, purpose, Priority::Usual)
+            {
+                self.front.naming.push_back(*naming);
+            }
+        }
+    }
+
+    /// The end of a job that a submission names was read.
+    pub(crate) fn on_named_read(
+        &mut self,
+        naming: NamingSubmission,
+        need: JobId,
+        reply: StateReply,
+    ) {
+        let Submission { req, id, .. } = &naming.submission;
+        let (req, id) = (*req, id.clone());
+        match reply {
+            StateReply::Found {
+                record: Record::End(ending),
+                ..
+            } => {
+                self.cache.remember(self.now, need, ending);
+                self.front.naming.push_back(naming);
+            }
+            StateReply::Missing { .. } if self.cache.accepted(&need) => {
+                self.front.naming.push_back(naming);
+            }
+            StateReply::Missing { .. } => {
+                let why = format!("{need} was never accepted");
+                self.on_question(req, id, Intent::Refuse(422, why));
+            }
+            _ => self.answer(req, Reply::later(503, 1, "the needed jobs aren't known")),
+        }
     }
 
     fn waiting_most(&self) -> usize {
@@ -297,6 +397,11 @@
             self.front.unknown.push_back(q);
             return;
         };
+        if self.cache.is_cancelled_by_need(&q.id) {
+            // It has no task, and ends as soon as its holder has written so. Called queued for
+            // much longer, it would be taken for one that was left behind.
+            return self.front.leaving.push_back(q);
+        }
         if q.intent == Intent::Withdraw {
             match job.withdrawn {
                 None => self.front.withdrawals.push_back(q),
@@ -304,6 +409,11 @@
             }
             return;
         }
+        if self.cache.may_be_cancelled(&q.id) {
+            // Somebody may have been told so of a job that it needs.
+            let after = self.last_call();
+            return self.front.questions.push_back(Question { after, ..q });
+        }
         let (done, running) = self.cache.counts(&q.id);
         let stance = if running > 0 {
             Stance::Running
@@ -315,6 +425,7 @@
     }
 
     pub(crate) fn pump_front(&mut self) {
+        self.pump_naming();
         self.pump_withdrawals();
         self.pump_unknown();
         self.pump_submissions();
@@ -453,6 +564,11 @@
                 StateReply::Committed { .. } if late => {
                     self.on_question(s.req, s.id, Intent::Again)
                 }
+                // It is accepted, and cancelled with a job that it needs.
+                StateReply::Committed { .. } if self.cache.needs(&s.rec) == Needs::Cancelled => {
+                    info!("job {} accepted, and cancelled with one it needs", s.id);
+                    self.on_question(s.req, s.id, Intent::Again);
+                }
                 StateReply::Committed { .. } => {
                     info!("job {} accepted: {} of {}", s.id, s.rec.count, s.rec.class);
                     let body = stance_body(&s.id, Stance::Queued, 0, 0);
@@ -520,6 +636,10 @@
             (&mut f.leaving, leave_s),
         ] {
             queue.retain(|q| {
+                let most_s = match q.intent {
+                    Intent::Poll => QUESTION_S.min(most_s),
+                    _ => most_s,
+                };
                 let keep = now.since(q.asked) < most_s;
                 if !keep {
                     late.push(q.req);
@@ -527,13 +647,15 @@
                 keep
             });
         }
-        f.submissions.retain(|s| {
+        let mut in_time = |s: &Submission| {
             let keep = now.since(s.asked) < SUBMIT_S;
             if !keep {
                 late.push(s.req);
             }
             keep
-        });
+        };
+        f.submissions.retain(&mut in_time);
+        f.naming.retain(|n| in_time(&n.submission));
         for req in late {
             self.answer(req, Reply::later(503, 2, "the state service is slow"));
         }
--- a/src/core/holder/burst_estimate.rs
+++ b/src/core/holder/burst_estimate.rs
@@ -75,7 +75,8 @@
     /// Takes those that run for a sign of what comes.
     pub(super) fn guess_demand(&mut self, now: Time, catalog: &[ClassInfo], closed: &[Closed]) {
         let mut squares: BTreeMap<Pool, f64> = BTreeMap::new();
-        for live in self.jobs.values().filter(|l| l.withdrawn.is_none()) {
+        let open = |live: &&JobState| live.withdrawn.is_none() && live.released;
+        for live in self.jobs.values().filter(open) {
             if let Some((pool, size)) = self.size(catalog, closed, &live.rec) {
                 *squares.entry(pool).or_default() += size * size;
             }
--- a/src/core/holder/intake.rs
+++ b/src/core/holder/intake.rs
@@ -1,6 +1,7 @@
 //! Jobs come into a block, are cancelled there, and leave it.
 
 use super::*;
+use crate::core::dependencies::Needs;
 use log::info;
 
 impl Core {
@@ -70,10 +71,7 @@
             h.failures
                 .restore(now, id, run.failed_tries, &run.failed_on);
         }
-        let withdrawn = live.withdrawn.is_some();
-        let closed = self.cache.closed();
-        h.note_demand(now, &self.catalog, closed, &job.rec);
-        h.note_image(now, &job.rec);
+        live.set_rank(job.rank);
         h.jobs.insert(id.clone(), live);
         for (index, attempt, machine, zone) in doubts {
             if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
@@ -96,17 +94,55 @@
             };
             h.put(id, index, placement);
         }
-        if withdrawn {
+        let live = &h.jobs[id];
+        if live.withdrawn.is_some() {
             // It was cancelled under an earlier holder, whose halts may never have
             // gone out: this one has to send its own.
             return self.halt_withdrawn(id);
         }
-        let live = &h.jobs[id];
         if live.done_count == live.rec.count {
             h.to_finish.insert(id.clone());
-        } else if live.queued() > 0 {
-            h.waiting.insert(id.clone());
-            h.place_wanted = true;
+        }
+        self.holder_needs_changed(id);
+    }
+
+    /// Something changed for a job through one that it needs or that needs it: it may start, it is
+    /// cancelled, or its rank is another.
+    pub(crate) fn holder_needs_changed(&mut self, id: &JobId) {
+        let now = self.now;
+        let Some(job) = self.cache.jobs.get(id) else {
+            return;
+        };
+        let Some(h) = self.holder.as_mut().filter(|h| h.block == job.rec.block) else {
+            return;
+        };
+        h.change_rank(id, job.rank);
+        let Some(live) = h.jobs.get_mut(id) else {
+            return;
+        };
+        if live.released || live.withdrawn.is_some() {
+            return;
+        }
+        match self.cache.needs(&job.rec) {
+            Needs::Open | Needs::Unknown => {}
+            Needs::Met => {
+                live.released = true;
+                live.since = now;
+                if !job.rec.needs.is_empty() {
+                    info!("job {id} may start: all that it needs is done");
+                }
+                h.note_demand(now, &self.catalog, self.cache.closed(), &job.rec);
+                h.note_image(now, &job.rec);
+                if h.jobs[id].queued() > 0 {
+                    h.waiting.insert(id.clone());
+                    h.place_wanted = true;
+                }
+            }
+            Needs::Cancelled => {
+                info!("job {id} is cancelled with one that it needs");
+                live.withdrawn = Some(now);
+                self.halt_withdrawn(id);
+            }
         }
     }
 
--- a/src/core/holder/job_state.rs
+++ b/src/core/holder/job_state.rs
@@ -45,6 +45,8 @@
     pub arrival: u64,
     pub since: Time,
     pub withdrawn: Option<Time>,
+    /// Whether all jobs that it needs are known to be done. Until then nothing of it starts.
+    pub released: bool,
     pub done: Vec<bool>,
     pub done_count: u32,
     pub placed: BTreeMap<u32, Placement>,
@@ -77,6 +79,7 @@
             arrival: job.revision,
             since: now,
             withdrawn: job.withdrawn,
+            released: false,
             done: vec![false; job.rec.count as usize],
             done_count: 0,
             placed: BTreeMap::new(),
@@ -89,6 +92,15 @@
         }
     }
 
+    /// Gives the job another rank than its own: the highest of those that need it. Whatever goes
+    /// by rank goes by this one.
+    pub(super) fn set_rank(&mut self, rank: Rank) {
+        if rank != self.rec.rank {
+            let rec = JobRec::clone(&self.rec);
+            self.rec = Rc::new(JobRec { rank, ..rec });
+        }
+    }
+
     pub(crate) fn is_queued(&self, index: u32) -> bool {
         !self.done[index as usize] && !self.placed.contains_key(&index)
     }
@@ -108,9 +120,9 @@
         self.placed.values().any(|p| !p.runs_well)
     }
 
-    /// How many tasks wait for a machine.
+    /// How many tasks wait for a machine: none while the job waits for others.
     pub(crate) fn queued(&self) -> u32 {
-        if self.withdrawn.is_some() {
+        if self.withdrawn.is_some() || !self.released {
             return 0;
         }
         (self.rec.count - self.done_count).saturating_sub(self.placed.len() as u32)
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -184,6 +184,21 @@
         live.placed.insert(index, placement);
     }
 
+    /// Gives a job another rank, also where its tasks are.
+    pub(super) fn change_rank(&mut self, job: &JobId, rank: Rank) {
+        let Some(live) = self.jobs.get_mut(job).filter(|l| l.rec.rank != rank) else {
+            return;
+        };
+        live.set_rank(rank);
+        for (index, placement) in &live.placed {
+            let (job, index) = (job.clone(), *index);
+            let task = TaskId { job, index };
+            self.machines
+                .edit(&placement.machine, |m| m.reseat(&task, &live.rec));
+        }
+        self.place_wanted = true;
+    }
+
     /// Whether a task's start was never sent and no commit of it is under way: it can't be on
     /// its machine. An earlier commit without an answer may yet be carried out, but the
     /// attempt that it names is never sent once the placement is taken out. While commits of
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -1,5 +1,6 @@
 //! What this controller knows of the state service's content, by following it.
 
+use super::dependencies::Dependencies;
 use crate::core::chunks::{ChunkLayout, EffectiveRun, effective_runs};
 use crate::core::records::*;
 use crate::ids::*;
@@ -16,6 +17,8 @@
     pub revision: u64,
     /// When this process learnt that the job is withdrawn.
     pub withdrawn: Option<Time>,
+    /// The highest rank of the job and of the open ones that need it.
+    pub rank: Rank,
 }
 
 /// A record with its revision; revision 0 stands for one that doesn't exist.
@@ -76,6 +79,7 @@
     /// How jobs ended, and when this process learnt it.
     endings: HashMap<JobId, (Ending, Time)>,
     endings_order: VecDeque<JobId>,
+    pub(super) dependencies: Dependencies,
 }
 
 impl Cache {
@@ -95,7 +99,7 @@
                 if !old {
                     return None;
                 }
-                self.jobs.remove(&id);
+                self.remove_job(&id);
                 Some(Event::JobGone(id))
             }
             (Key::Run(id, chunk), Some(Record::Run(r))) => {
@@ -124,18 +128,32 @@
         if self.jobs.get(&id).is_some_and(|j| j.revision >= revision) {
             return None;
         }
-        let since = self.jobs.get(&id).and_then(|j| j.withdrawn).unwrap_or(now);
+        let before = self.jobs.get(&id);
+        let since = before.and_then(|j| j.withdrawn).unwrap_or(now);
         let withdrawn = rec.withdrawn.then_some(since);
-        let rec = Rc::new(rec);
         let job = CachedJob {
-            rec,
             revision,
             withdrawn,
+            rank: before.map_or(rec.rank, |j| j.rank),
+            rec: Rc::new(rec),
         };
+        let new = before.is_none();
         self.jobs.insert(id.clone(), job);
+        if new {
+            self.link(&id);
+        }
+        if withdrawn.is_some() {
+            self.note_mark(&id);
+        }
         Some(Event::Job(id))
     }
 
+    fn remove_job(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.remove(id) {
+            self.unlink(id, &job);
+        }
+    }
+
     /// Takes a full listing that began at revision `listed_at`: what it doesn't hold is gone.
     pub fn replace(&mut self, now: Time, listed_at: u64, entries: Vec<Change>) -> Vec<Event> {
         let mut events = Vec::new();
@@ -148,7 +166,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lost {
-            self.jobs.remove(&id);
+            self.remove_job(&id);
             events.push(Event::JobGone(id));
         }
         self.runs.retain(|(id, chunk), (revision, _)| {
@@ -168,11 +186,13 @@
     pub fn remember(&mut self, now: Time, id: JobId, ending: Ending) {
         if !self.endings.contains_key(&id) {
             self.endings.insert(id.clone(), (ending, now));
+            self.note_end(&id, ending);
             self.endings_order.push_back(id);
         }
         while self.endings_order.len() > ENDINGS_MAX {
             if let Some(old) = self.endings_order.pop_front() {
                 self.endings.remove(&old);
+                self.look_for_end(&old);
             }
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 mod calls;
 pub mod chunks;
+pub mod dependencies;
 mod election;
 pub mod failures;
 pub mod fleet;
@@ -18,6 +19,7 @@
 mod heartbeats;
 pub mod holder;
 pub mod jobs;
+mod needs;
 mod placement;
 pub mod records;
 mod relay;
@@ -32,7 +34,7 @@
 use holder::Holder;
 use jobs::{Cache, Event};
 use records::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A request that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -138,6 +140,10 @@
     Submit(Vec<front::Submission>),
     Withdraw(front::Question),
     ReadEnd(front::Question),
+    /// The end of a job that a submission names.
+    ReadNamed(Box<front::NamingSubmission>, JobId),
+    /// The end of a job that one in the cache needs.
+    ReadNeed(JobId),
     Flush(Vec<holder::FlushItem>),
     Reread(JobId, u32),
     Finish(JobId),
@@ -223,6 +229,7 @@
     fresh_asked: CallId,
     /// Reads that were answered, while the follow hasn't come as far yet.
     fresh_waiting: VecDeque<FreshRead>,
+    need_reads: needs::NeedReads,
     heard_at: Time,
     front: front::Front,
     election: election::Election,
@@ -282,6 +289,7 @@
             fresh_last: Time(0),
             fresh_asked: CallId(0),
             fresh_waiting: VecDeque::new(),
+            need_reads: needs::NeedReads::default(),
             heard_at: Time(0),
             front: front::Front::default(),
             election: election::Election::default(),
@@ -410,8 +418,10 @@
     }
 
     fn pump(&mut self) {
+        self.on_affected();
         self.each_block(Self::place);
         self.each_block(Self::pump_flush);
+        self.pump_need_reads();
         self.pump_front();
         self.pump_fresh();
     }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -274,6 +274,9 @@
     pub block: u32,
     #[serde(default)]
     pub withdrawn: bool,
+    /// Jobs that have to be done before any task of this one starts, each named once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<JobId>,
 }
 
 impl JobRec {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,6 +1,7 @@
 //! Submissions, and what users are answered.
 
 use super::*;
+use std::collections::BTreeSet;
 
 #[derive(Deserialize)]
 struct SubmitBody {
@@ -31,6 +32,7 @@
     stash_s: Num,
     #[serde(rename = "curtainS")]
     curtain_s: Option<Num>,
+    awaits: Option<Vec<String>>,
 }
 
 #[derive(Deserialize)]
@@ -111,6 +113,10 @@
                 .collect::<Result<Vec<_>, _>>()?,
         ),
     };
+    let mut needs = BTreeSet::new();
+    for need in b.awaits.unwrap_or_default() {
+        needs.insert(JobId::parse(&need).ok_or("awaits")?);
+    }
     let rec = JobRec {
         class: name("troupe", b.troupe)?,
         team: name("crew", b.crew)?,
@@ -144,6 +150,7 @@
         chunk: 1,
         block: 0,
         withdrawn: false,
+        needs: needs.into_iter().collect(),
     };
     Ok((id, rec))
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -345,7 +345,7 @@
 
 type Breaks = fn(&mut Checker);
 
-const CHECKER_TESTS: [(&str, Breaks); 15] = [
+const CHECKER_TESTS: [(&str, Breaks); 17] = [
     ("ran_twice", |c| {
         c.starts(1, &task(0), place("m1", "a"));
         c.starts(2, &task(0), place("m2", "b"));
@@ -379,10 +379,30 @@
         c.said(1, &JobId::from("j-1"), Said::Done);
     }),
     ("went_back", |c| {
-        (0..4).for_each(|n| c.finishes(&task(n)));
+        (0..4).for_each(|n| c.finishes(1, &task(n)));
         c.said(1, &JobId::from("j-1"), Said::Done);
         c.said(2, &JobId::from("j-1"), Said::Running);
     }),
+    ("too_early", |c| {
+        let mut rec = c.jobs[&JobId::from("j-1")].rec.clone();
+        rec.needs = vec![JobId::from("j-1")];
+        c.submitted(1, &JobId::from("j-2"), rec);
+        (0..3).for_each(|n| c.finishes(1, &task(n)));
+        let job = JobId::from("j-2");
+        c.starts(2, &TaskId { job, index: 0 }, place("m1", "a"));
+    }),
+    ("orphaned", |c| {
+        let (needed, job) = (JobId::from("j-1"), JobId::from("j-2"));
+        let mut rec = c.jobs[&needed].rec.clone();
+        rec.needs = vec![needed.clone()];
+        c.submitted(1, &job, rec);
+        c.said(1, &job, Said::Queued);
+        c.cancel_asked(1, &needed);
+        c.said(2, &needed, Said::Withdrawn);
+        c.said(35_000, &job, Said::Queued);
+        assert!(c.broken.is_empty(), "there is a moment left");
+        c.said(36_000, &job, Said::Queued);
+    }),
     ("nothing_ran", |c| c.check_end(1)),
     ("started_cancelled", |c| {
         c.cancel_asked(1, &JobId::from("j-1"));
--- a/tests/sim/checker.rs
+++ b/tests/sim/checker.rs
@@ -29,6 +29,8 @@
     /// Its tasks that ever started.
     pub started: BTreeSet<u32>,
     pub finished: BTreeSet<u32>,
+    /// When the last of its tasks was.
+    pub finished_at: Option<u64>,
     pub submitted_at: u64,
     pub accepted_at: Option<u64>,
     pub first_start: Option<u64>,
@@ -73,6 +75,7 @@
             unfit: false,
             started: BTreeSet::new(),
             finished: BTreeSet::new(),
+            finished_at: None,
             submitted_at: now,
             accepted_at: None,
             first_start: None,
@@ -100,7 +103,7 @@
             job.accepted_at.get_or_insert(now);
         }
         let all = job.finished.len() as u32 == job.rec.count;
-        let (asked, unfit) = (job.cancel_asked.is_some(), job.unfit);
+        let unfit = job.unfit;
         match said {
             Said::Unknown | Said::Refused => {}
             Said::Done => {
@@ -114,7 +117,13 @@
             }
             Said::Queued | Said::Running => job.told.accepted = true,
         }
+        let asked = self.cancel_asked_above(id).is_some();
+        let told = self.cancel_told_above(id);
         match said {
+            Said::Queued | Said::Running if told.is_some_and(|at| now > at + self.cancel_ms) => {
+                let what = format!("{id} is {said:?} after one that it needs was cancelled");
+                self.fault(now, "orphaned", what);
+            }
             Said::Unknown | Said::Refused if before.accepted => {
                 self.fault(now, "forgotten", format!("{id} is {said:?}"));
             }
@@ -150,6 +159,64 @@
         accepted && !before.accepted || ends && !over
     }
 
+    /// A job, and all that it needs, directly or through others.
+    fn above(&self, id: &JobId) -> BTreeSet<JobId> {
+        let (mut left, mut all) = (vec![id.clone()], BTreeSet::new());
+        while let Some(id) = left.pop() {
+            if let Some(job) = self.jobs.get(&id)
+                && all.insert(id)
+            {
+                left.extend(job.rec.needs.iter().cloned());
+            }
+        }
+        all
+    }
+
+    /// When a user first asked to cancel a job or one that it needs.
+    pub fn cancel_asked_above(&self, id: &JobId) -> Option<u64> {
+        let above = self.above(id);
+        above
+            .iter()
+            .filter_map(|id| self.jobs[id].cancel_asked)
+            .min()
+    }
+
+    /// When a user was first told that a job which this one needs is cancelled, or when this one
+    /// was accepted after that.
+    fn cancel_told_above(&self, id: &JobId) -> Option<u64> {
+        let mut above = self.above(id);
+        above.remove(id);
+        let told = above
+            .iter()
+            .filter_map(|id| self.jobs[id].told.withdrawn_at);
+        let first = told.min()?;
+        Some(first.max(self.jobs[id].accepted_at.unwrap_or(first)))
+    }
+
+    /// A job that this one needs and that isn't done, if there is one.
+    pub fn open_need(&self, rec: &JobRec) -> Option<JobId> {
+        let done = |id: &&JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|j| j.finished.len() as u32 == j.rec.count)
+        };
+        rec.needs.iter().find(|id| !done(id)).cloned()
+    }
+
+    /// When jobs were told to be cancelled whose own cancellation nobody asked for.
+    pub fn cascaded(&self) -> impl Iterator<Item = u64> {
+        let jobs = self.jobs.values().filter(|j| j.cancel_asked.is_none());
+        jobs.filter_map(|j| j.told.withdrawn_at)
+    }
+
+    /// When the last need of each job was done, and how long it took then until a task started.
+    pub fn released(&self) -> impl Iterator<Item = (u64, u64)> {
+        self.jobs.values().filter_map(|j| {
+            let needs = j.rec.needs.iter().map(|id| self.jobs.get(id)?.finished_at);
+            let last = needs.collect::<Option<Vec<u64>>>()?.into_iter().max()?;
+            Some((last, j.first_start?.saturating_sub(last)))
+        })
+    }
+
     fn runs(&self, id: &JobId) -> bool {
         let mut tasks = self.on.range(first(id)..);
         tasks.next().is_some_and(|(t, _)| t.job == *id)
@@ -163,6 +230,14 @@
             self.fault(now, "ran_twice", what);
         }
         self.check_place(now, task, &place);
+        let needs = self.jobs.get(&task.job).map(|j| self.open_need(&j.rec));
+        if let Some(need) = needs.flatten() {
+            self.fault(
+                now,
+                "too_early",
+                format!("{task} starts before {need} is done"),
+            );
+        }
         self.on.entry(task.clone()).or_default().push(place);
         let job = self.jobs.get_mut(&task.job);
         let confirmed = job.is_some_and(|job| {
@@ -186,9 +261,12 @@
         }
     }
 
-    pub fn finishes(&mut self, task: &TaskId) {
+    pub fn finishes(&mut self, now: u64, task: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.finished.insert(task.index);
+            if job.finished.len() as u32 == job.rec.count {
+                job.finished_at.get_or_insert(now);
+            }
         }
     }
 
@@ -291,8 +369,9 @@
     /// Less than half of a class, of a team, or of a class's largest jobs served.
     fn check_served(&mut self, now: u64) {
         let mut groups: BTreeMap<String, Vec<&JobView>> = BTreeMap::new();
-        let wanted = |j: &&JobView| j.told.accepted && j.cancel_asked.is_none();
-        for j in self.jobs.values().filter(wanted) {
+        let wanted =
+            |(id, j): &(&JobId, &JobView)| j.told.accepted && self.cancel_asked_above(id).is_none();
+        for (_, j) in self.jobs.iter().filter(wanted) {
             for name in [
                 format!("class {}", j.rec.class),
                 format!("team {}", j.rec.team),
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -69,6 +69,7 @@
         "stream",
         "capacity",
         "limits-fall",
+        "pipelines",
     ];
     if rest.contains(&line[0].as_str()) {
         return 0;
@@ -198,6 +199,41 @@
         }
     }
 
+    /// Pipelines at a steady rate: one job, two that need it, and an urgent one that needs these.
+    /// Of some, a job is cancelled; of some, the last job comes when the others are over.
+    pub fn pipelines(&mut self, args: Args, for_ms: u64) {
+        let name = &args[0];
+        let count = (num(args, "rate", 0.5) * for_ms as f64 / 1000.0) as u64;
+        let share = |key: &str| (num(args, key, 0.0) * 1000.0) as u64;
+        let (cancelled, late) = (share("cancelled"), share("late"));
+        for n in 0..count {
+            let at = self.now + n * for_ms / count;
+            let id = |stage: &str| format!("{name}{stage}-{n}");
+            let (first, left, right, last) = (id("a"), id("b"), id("c"), id("d"));
+            let comes_late = self.random(1000) < late;
+            let stages = [
+                (&first, "rank=idle", String::new()),
+                (&left, "rank=idle", format!("needs={first}")),
+                (&right, "rank=normal", format!("needs={first}")),
+                (&last, "rank=urgent", format!("needs={left},{right}")),
+            ];
+            for (id, rank, needs) in stages {
+                let mut line = vec![String::from("submit"), id.clone()];
+                line.extend_from_slice(&args[1..]);
+                line.extend([String::from(rank), needs]);
+                if comes_late && *id == last {
+                    line.push(String::from("late"));
+                }
+                self.at(at, Ev::Line(line));
+            }
+            if self.random(1000) < cancelled {
+                let of = [&first, &left, &right, &last][self.random(4) as usize];
+                let later = at + 500 + self.random(ms(4.0 * num(args, "run", 20.0)));
+                self.at(later, Ev::User(JobId::from(of.as_str()), Intent::Withdraw));
+            }
+        }
+    }
+
     /// Users ask about jobs of theirs so many times a second.
     pub fn poll_storm(&mut self, rate: f64, for_ms: u64) {
         let count = (rate * for_ms as f64 / 1000.0) as u64;
@@ -283,10 +319,11 @@
             return;
         }
         let jobs = self.checker.jobs.iter().filter(|(id, j)| {
-            let over = j.told.done || j.cancel_asked.is_some();
+            let over = j.told.done || self.checker.cancel_asked_above(id).is_some();
+            let held = self.checker.open_need(&j.rec).is_some();
             let runs = self.checker.on.keys().any(|t| t.job == **id);
             let left = (j.finished.len() as u32) < j.rec.count;
-            j.told.accepted && !over && !runs && left && self.checker.below_limit(&j.rec)
+            j.told.accepted && !over && !held && !runs && left && self.checker.below_limit(&j.rec)
         });
         let roomy = jobs.filter(|(id, j)| !self.specs[*id].broken && self.has_room(&j.rec));
         let roomy = roomy.map(|(id, _)| id.clone()).collect();
@@ -314,7 +351,6 @@
 
     // ---- what took place
 
-    /// How often something took place, between two moments if they are given.
     /// Jobs of which a record is cut into parts.
     fn jobs_in_parts(&self) -> usize {
         let records = self.state.log.iter();
@@ -325,6 +361,7 @@
         parts.collect::<BTreeSet<&JobId>>().len()
     }
 
+    /// How often something took place, between two moments if they are given.
     pub fn count_met(&self, what: &str, args: Args) -> Option<usize> {
         let (from, to) = (ms(num(args, "from", 0.0)), ms(num(args, "to", 1e6)));
         let within = |at: &u64| (from..=to).contains(at);
@@ -354,6 +391,14 @@
                 .filter_map(|j| Some((j.cancel_asked?, j.told.withdrawn_at?)))
                 .filter(|(asked, told)| within(asked) && told - asked <= ms(num(args, "in", 3.0)))
                 .count(),
+            // Jobs that were cancelled with one that they need, after which they were told so.
+            "cascaded" => self.checker.cascaded().filter(within).count(),
+            // Jobs that waited for others, and started so soon after the last one was done.
+            "released" => self
+                .checker
+                .released()
+                .filter(|(at, took)| within(at) && *took <= ms(num(args, "in", 1e6)))
+                .count(),
             "ended" => jobs.filter_map(|j| j.done_told_at).filter(within).count(),
             // Jobs of which a task was on a machine so soon after their submission.
             "begun" => jobs
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -39,6 +39,9 @@
         if intent == Intent::Withdraw && !accepted {
             return self.after(500, Ev::User(id.clone(), intent));
         }
+        if intent == Intent::Submit && !self.needs_allow(id) {
+            return self.after(100, Ev::User(id.clone(), intent));
+        }
         // The balancer passes over nodes that don't answer `/up`.
         let alive: Vec<usize> = (0..self.nodes.len())
             .filter(|n| self.nodes[*n].core.is_some())
@@ -48,6 +51,22 @@
         self.ask_at(id, intent, alive.get(pick).copied().unwrap_or(0));
     }
 
+    /// Whether a job's user submits it by now: each that it needs is accepted or, of one that comes
+    /// late, over.
+    fn needs_allow(&self, id: &JobId) -> bool {
+        let Some(spec) = self.specs.get(id) else {
+            return true;
+        };
+        let ready = |need: &JobId| {
+            let told = self.checker.jobs.get(need).map(|j| &j.told);
+            told.is_some_and(|told| match spec.late {
+                true => told.done || told.withdrawn_at.is_some(),
+                false => told.accepted,
+            })
+        };
+        spec.hasty || spec.needs.iter().all(ready)
+    }
+
     /// A user asks at this node.
     pub fn ask_at(&mut self, id: &JobId, intent: Intent, n: usize) {
         let wait = match intent {
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -170,7 +170,7 @@
             match stance {
                 Stance::Fetching => self.image_ready(id, &task),
                 Stance::Running => {
-                    self.checker.finishes(&task);
+                    self.checker.finishes(now, &task);
                     self.end_task(id, &task, "done");
                     self.cancel_at_end(&task.job);
                 }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -27,6 +27,11 @@
     pub save_ms: u64,
     pub service: bool,
     pub broken: bool,
+    pub needs: Vec<JobId>,
+    /// Its user submits it only when all that it needs is over.
+    pub late: bool,
+    /// Its user doesn't wait until what it needs is accepted.
+    pub hasty: bool,
 }
 
 pub enum Origin {
@@ -885,6 +890,7 @@
             }
             "cancel-now" => self.cancel_now(args),
             "stream" => self.stream(args, for_ms),
+            "pipelines" => self.pipelines(args, for_ms),
             "poll-storm" => self.poll_storm(num(args, "rate", 50.0), for_ms),
             "forget-log" => self.state.kept = args[0].parse().expect("a count"),
             "stillborn" => self.cloud.stillborn = args[0].parse().expect("a count"),
@@ -991,6 +997,8 @@
         let image = arg(args, "image").unwrap_or("img-1").to_string();
         let run = num(args, "run", 20.0);
         let types = arg(args, "types").map(|t| t.split(',').map(String::from).collect::<Vec<_>>());
+        let needs = arg(args, "needs").map(|n| n.split(',').map(String::from).collect::<Vec<_>>());
+        let needs = needs.unwrap_or_default();
         let body = cbor!({
             "id" => args[0], "troupe" => arg(args, "class").unwrap_or("c"),
             "crew" => arg(args, "team").unwrap_or("t"),
@@ -1003,7 +1011,8 @@
             "samePlace" => flag(args, "one-zone"), "scatter" => flag(args, "scatter"),
             "borrowed" => flag(args, "spot"), "reckonS" => run,
             "bookmarkS" => if save > 0.0 { 10.0 } else { 0.0 }, "stashS" => save,
-            "curtainS" => Option::<f64>::None
+            "curtainS" => Option::<f64>::None,
+            "awaits" => (!needs.is_empty()).then_some(&needs)
         });
         let spec = Spec {
             body: wire::encode(&body.expect("a map")),
@@ -1013,6 +1022,9 @@
             save_ms: ms(save),
             service,
             broken: flag(args, "broken"),
+            needs: needs.iter().map(|id| JobId::from(id.as_str())).collect(),
+            late: flag(args, "late"),
+            hasty: flag(args, "hasty"),
         };
         self.add_spec(&id, spec);
         self.user(&id, Intent::Submit);
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -68,6 +68,7 @@
         chunk: 68,
         block: 0,
         withdrawn: false,
+        needs: Vec::new(),
     }
 }
 
