--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -1027,6 +1027,11 @@
             hasty: flag(args, "hasty"),
         };
         self.add_spec(&id, spec);
+        if flag(args, "unfit")
+            && let Some(job) = self.checker.jobs.get_mut(&id)
+        {
+            job.unfit = true;
+        }
         self.user(&id, Intent::Submit);
     }
 }
