A cancelled job's end is written after the ends of all that need it; endings module

Its user was told at once and the others followed within the budget for changes: dozens take seconds, and an outage just then left them open beyond the bound. Now none is open any more when the cancellation is told, whatever fails from then on; one submitted meanwhile is told of only with its end.

--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -54,6 +54,11 @@
         needs
     }
 
+    /// Whether a job that isn't over needs this one.
+    pub fn is_needed(&self, id: &JobId) -> bool {
+        self.dependencies.dependents.contains_key(id)
+    }
+
     /// Whether a job is known to have been accepted.
     pub fn accepted(&self, id: &JobId) -> bool {
         self.jobs.contains_key(id) || self.ending(id).is_some()
--- a/src/core/holder/commits.rs
+++ b/src/core/holder/commits.rs
@@ -48,7 +48,7 @@
 }
 
 /// The priority of what is committed for a job of this rank.
-fn rank_priority(rank: Rank) -> Priority {
+pub(super) fn rank_priority(rank: Rank) -> Priority {
     if rank > Rank::Normal {
         Priority::Usual
     } else {
@@ -65,7 +65,7 @@
 impl Core {
     /// Commits chunks, several to a transaction, the most urgent first.
     pub(crate) fn pump_flush(&mut self) {
-        self.pump_finish();
+        self.pump_endings();
         loop {
             let now = self.now;
             let mut limits = self.flush_limits();
@@ -211,110 +211,6 @@
             self.answer_held(&machine);
         }
     }
-
-    /// Writes the ends of jobs. The end comes first, and with it the job's record
-    /// goes; chunks that don't fit into the transaction go later.
-    fn pump_finish(&mut self) {
-        let ops = self.settings.platform.facts.state.strictest().txn_ops;
-        let Some(h) = &self.holder else {
-            return;
-        };
-        let cancelled = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.withdrawn.is_some());
-        let mut ids: Vec<JobId> = h.to_finish.iter().cloned().collect();
-        // Those whose users wait come first: the others may find the budget used up.
-        ids.sort_by_key(|id| !cancelled(id));
-        for id in ids {
-            let Some(h) = &mut self.holder else {
-                return;
-            };
-            let Some(live) = h.jobs.get_mut(&id) else {
-                h.to_finish.remove(&id);
-                continue;
-            };
-            let busy = live.finishing || live.chunks.values().any(|c| c.busy);
-            if busy || (live.withdrawn.is_some() && !live.placed.is_empty()) {
-                continue;
-            }
-            let (job, end) = (Key::Job(id.clone()), Key::End(id.clone()));
-            let mut when = vec![
-                (Key::Block(h.block), h.block_revision),
-                (job.clone(), live.revision),
-            ];
-            let mut writes = Vec::new();
-            let (ending, priority) = match live.withdrawn {
-                None => (Ending::Done, rank_priority(live.rec.rank)),
-                // Its user waits for this one.
-                Some(_) => (Ending::Withdrawn, Priority::First),
-            };
-            when.push((end.clone(), 0));
-            writes.push(Write::put(end, Record::End(ending)));
-            writes.push(Write::Delete { key: job });
-            let written = live.chunks.iter().filter(|(_, c)| c.revision > 0);
-            let room = ops - writes.len();
-            writes.extend(written.take(room).map(|(chunk, _)| Write::Delete {
-                key: Key::Run(id.clone(), *chunk),
-            }));
-            live.finishing = true;
-            let op = StateOp::Commit { when, writes };
-            if self
-                .state_call(op, Purpose::Finish(id.clone()), priority)
-                .is_err()
-            {
-                if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) {
-                    live.finishing = false;
-                }
-                return;
-            }
-        }
-        self.pump_cleanup(ops);
-    }
-
-    fn pump_cleanup(&mut self, ops: usize) {
-        let Some(h) = &mut self.holder else {
-            return;
-        };
-        if h.cleaning || h.leftover_chunks.is_empty() {
-            return;
-        }
-        let n = h.leftover_chunks.len().min(ops);
-        let list: Vec<_> = h.leftover_chunks.drain(..n).collect();
-        let writes = list.iter().map(|(job, chunk)| Write::Delete {
-            key: Key::Run(job.clone(), *chunk),
-        });
-        let op = StateOp::Commit {
-            when: vec![(Key::Block(h.block), h.block_revision)],
-            writes: writes.collect(),
-        };
-        h.cleaning = true;
-        if let Err(Purpose::Cleanup(list)) =
-            self.state_call(op, Purpose::Cleanup(list), Priority::Last)
-        {
-            self.on_cleaned(list, StateReply::Refused);
-        }
-    }
-
-    pub(crate) fn on_cleaned(&mut self, list: Vec<(JobId, u32)>, reply: StateReply) {
-        if let Some(h) = &mut self.holder {
-            h.cleaning = false;
-            if !matches!(reply, StateReply::Committed { .. }) {
-                h.leftover_chunks.extend(list);
-            }
-        }
-    }
-
-    pub(crate) fn on_finished(&mut self, id: JobId, reply: StateReply) {
-        let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) else {
-            return;
-        };
-        live.finishing = false;
-        // The follow brings the end; a conflict means that a withdrawal came first,
-        // and anything else is tried again.
-        if let StateReply::Committed { .. } = reply {
-            live.finishing = true;
-        } else if let StateReply::Conflict { failed } = reply {
-            warn!("job {id} didn't end: {} changed", failed.len());
-        }
-    }
 }
 
 /// Marks committed placements; returns their machines.
--- /dev/null
+++ b/src/core/holder/endings.rs
@@ -0,0 +1,131 @@
+//! How the ends of jobs are committed, and how what is left of their records is cleared away.
+
+use super::commits::rank_priority;
+use super::*;
+use log::warn;
+
+impl Core {
+    /// Writes the ends of jobs: first of cancelled ones, for which users wait, while the budget
+    /// lasts.
+    pub(super) fn pump_endings(&mut self) {
+        for id in self.ready_to_end() {
+            if !self.commit_end(&id) {
+                return;
+            }
+        }
+        self.pump_cleanup();
+    }
+
+    /// Jobs whose end can be committed now.
+    fn ready_to_end(&mut self) -> Vec<JobId> {
+        let Some(h) = &mut self.holder else {
+            return Vec::new();
+        };
+        h.to_finish.retain(|id| h.jobs.contains_key(id));
+        let (mut cancelled, mut done) = (Vec::new(), Vec::new());
+        for id in &h.to_finish {
+            let live = &h.jobs[id];
+            if live.finishing || live.chunks.values().any(|c| c.busy) {
+                continue;
+            }
+            // The user of a cancelled job is told with its end. By then no task of it is left, and
+            // no job is open that needs it: none can be called queued when that isn't true any
+            // more, whatever fails from then on.
+            let settled = live.placed.is_empty() && !self.cache.is_needed(id);
+            match live.withdrawn {
+                Some(_) if settled => cancelled.push(id.clone()),
+                Some(_) => {}
+                None => done.push(id.clone()),
+            }
+        }
+        cancelled.append(&mut done);
+        cancelled
+    }
+
+    /// Commits a job's end, and with it the deletion of its record; chunks that don't fit into the
+    /// transaction go later. False if there is no budget for it.
+    fn commit_end(&mut self, id: &JobId) -> bool {
+        let ops = self.settings.platform.facts.state.strictest().txn_ops;
+        let Some(h) = &mut self.holder else {
+            return false;
+        };
+        let Some(live) = h.jobs.get_mut(id) else {
+            return true;
+        };
+        let (job, end) = (Key::Job(id.clone()), Key::End(id.clone()));
+        let when = vec![
+            (Key::Block(h.block), h.block_revision),
+            (job.clone(), live.revision),
+            (end.clone(), 0),
+        ];
+        let (ending, priority) = match live.withdrawn {
+            None => (Ending::Done, rank_priority(live.rec.rank)),
+            Some(_) => (Ending::Withdrawn, Priority::First),
+        };
+        let mut writes = vec![
+            Write::put(end, Record::End(ending)),
+            Write::Delete { key: job },
+        ];
+        let written = live.chunks.iter().filter(|(_, c)| c.revision > 0);
+        let room = ops - writes.len();
+        writes.extend(written.take(room).map(|(chunk, _)| Write::Delete {
+            key: Key::Run(id.clone(), *chunk),
+        }));
+        let op = StateOp::Commit { when, writes };
+        let purpose = Purpose::Finish(id.clone());
+        let sent = self.state_call(op, purpose, priority).is_ok();
+        if let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(id)) {
+            live.finishing = sent;
+        }
+        sent
+    }
+
+    /// Deletes chunks of jobs that are over.
+    fn pump_cleanup(&mut self) {
+        let ops = self.settings.platform.facts.state.strictest().txn_ops;
+        let Some(h) = &mut self.holder else {
+            return;
+        };
+        if h.cleaning || h.leftover_chunks.is_empty() {
+            return;
+        }
+        let n = h.leftover_chunks.len().min(ops);
+        let list: Vec<_> = h.leftover_chunks.drain(..n).collect();
+        let writes = list.iter().map(|(job, chunk)| Write::Delete {
+            key: Key::Run(job.clone(), *chunk),
+        });
+        let op = StateOp::Commit {
+            when: vec![(Key::Block(h.block), h.block_revision)],
+            writes: writes.collect(),
+        };
+        h.cleaning = true;
+        if let Err(Purpose::Cleanup(list)) =
+            self.state_call(op, Purpose::Cleanup(list), Priority::Last)
+        {
+            self.on_cleaned(list, StateReply::Refused);
+        }
+    }
+
+    pub(crate) fn on_cleaned(&mut self, list: Vec<(JobId, u32)>, reply: StateReply) {
+        if let Some(h) = &mut self.holder {
+            h.cleaning = false;
+            if !matches!(reply, StateReply::Committed { .. }) {
+                h.leftover_chunks.extend(list);
+            }
+        }
+    }
+
+    pub(crate) fn on_finished(&mut self, id: JobId, reply: StateReply) {
+        let Some(live) = self.holder.as_mut().and_then(|h| h.jobs.get_mut(&id)) else {
+            return;
+        };
+        live.finishing = false;
+        // The follow brings the end; a conflict means that a withdrawal came first,
+        // and anything else is tried again.
+        if let StateReply::Committed { .. } = reply {
+            live.finishing = true;
+        } else if let StateReply::Conflict { failed } = reply {
+            warn!("job {id} didn't end: {} changed", failed.len());
+        }
+    }
+}
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -6,6 +6,7 @@
 
 mod burst_estimate;
 mod commits;
+mod endings;
 mod image_demand;
 mod intake;
 pub mod job_state;
