--- a/src/core/budget.rs
+++ b/src/core/budget.rs
@@ -5,7 +5,7 @@
 /// How much of a bucket a call must leave for those before it in rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Priority {
-    /// Leases, halts, withdrawals: may take the last token.
+    /// Leases, halts, cancellations: may take the last token.
     First,
     /// Placements and submissions.
     Usual,
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -111,7 +111,7 @@
             Purpose::Elect => self.on_elected(reply),
             Purpose::Extend => self.on_extended(reply, sent),
             Purpose::Submit(list) => self.on_submitted(list, reply, sent),
-            Purpose::Withdraw(q) => self.on_withdrawn(q, reply),
+            Purpose::Cancel(q) => self.on_cancelled(q, reply),
             Purpose::ReadEnd(q) => self.on_end_read(q, reply),
             Purpose::ReadNamed(naming, need) => self.on_named_read(*naming, need, reply),
             Purpose::ReadNeed(need) => self.on_need_read(need, reply),
--- /dev/null
+++ b/src/core/front/mod.rs
@@ -0,0 +1,186 @@
+//! What users ask: submissions, questions, cancellations, and whether the node is up.
+//!
+//! [`submissions`] checks and commits jobs, [`questions`] answers what is known of them, and
+//! [`cancellations`] marks them and tells their users once nothing of them is left.
+
+mod cancellations;
+mod questions;
+mod submissions;
+
+use super::*;
+use std::collections::VecDeque;
+
+/// A submission that waits for its commit.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    req: ReqId,
+    id: JobId,
+    rec: JobRec,
+    asked: Time,
+}
+
+/// A submission that names jobs which are looked up first: those that were accepted before it
+/// came are known once a read that was sent after it has been caught up with, or their ends are
+/// read.
+#[derive(Debug)]
+pub(crate) struct NamingSubmission {
+    submission: Submission,
+    /// The last call sent before it came.
+    after: CallId,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Intent {
+    /// The present state.
+    Poll,
+    /// The present state of a job that seems to have been submitted before; when it
+    /// wasn't, the user shall come again.
+    Again,
+    /// This status, 400 or 422, and its reason, unless the job is known.
+    Refuse(u16, String),
+    Cancel,
+}
+
+/// A question that waits for a fresh read.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+    req: ReqId,
+    id: JobId,
+    intent: Intent,
+    asked: Time,
+    /// The last call sent before it was asked. Only the answer to a later one is news of
+    /// a moment after it; clocks can't tell, since a millisecond holds both.
+    after: CallId,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Front {
+    submissions: VecDeque<Submission>,
+    questions: VecDeque<Question>,
+    /// Questions whose job isn't among the live ones: its end is still to be read.
+    unknown: VecDeque<Question>,
+    cancellations: VecDeque<Question>,
+    /// Submissions that name jobs of which it isn't known here that they were accepted.
+    naming: VecDeque<NamingSubmission>,
+    /// Cancellations that are marked, and told once no task of their job is left; and questions
+    /// about jobs that are cancelled with one that they need, until their end is committed.
+    leaving: VecDeque<Question>,
+    /// The last call sent before the newest request came that isn't a mere question: a
+    /// cancellation, or a submission that has to be looked up.
+    urgent: Option<CallId>,
+    /// Who is to be told that a job is over, and not before when.
+    telling: VecDeque<(Time, ReqId, JobId, Ending)>,
+}
+
+/// Users wait 2 s for the answer to a question, and 5 s for other ones.
+const QUESTION_S: f64 = 1.5;
+const SUBMIT_S: f64 = 3.0;
+/// Most requests of a kind that wait at once, as a share of the sockets. What comes on top
+/// is told when to come back.
+const WAITING_SHARE: f64 = 0.8;
+
+impl Front {
+    /// Requests that wait to be written.
+    pub(crate) fn backlog(&self) -> usize {
+        self.submissions.len() + self.naming.len() + self.cancellations.len()
+    }
+
+    /// When somebody is next to be told that a job is over.
+    pub(crate) fn first_telling(&self) -> Option<Time> {
+        self.telling.iter().map(|(at, ..)| *at).min()
+    }
+
+    /// The last call sent before the newest request that isn't a mere question, if any came.
+    pub(crate) fn newest_urgent(&self) -> Option<CallId> {
+        self.urgent
+    }
+
+    /// The last call sent before the newest question was asked.
+    pub(crate) fn newest_question(&self) -> Option<CallId> {
+        self.questions.back().map(|q| q.after)
+    }
+}
+
+impl Core {
+    pub(crate) fn on_request(&mut self, req: ReqId, ask: Request) {
+        match ask {
+            Request::Up => self.on_up(req),
+            Request::Report(report) => self.on_report(req, report),
+            Request::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
+            Request::Submit(Err(bad)) => self.on_malformed(req, bad),
+            Request::Poll(id) => self.on_question(req, id, Intent::Poll),
+            Request::Cancel(id) => self.on_question(req, id, Intent::Cancel),
+        }
+    }
+
+    pub(crate) fn on_disconnect(&mut self, req: ReqId) {
+        self.forget_report(req);
+        for h in self.parked.values_mut() {
+            h.forget_request(req);
+        }
+    }
+
+    /// Unhealthy only while a sibling does better: if nobody sees the state service,
+    /// taking all nodes away would only slow the return. Who neither sees it nor hears any
+    /// sibling is cut off, and users who reach it were refused for as long as that lasted.
+    fn on_up(&mut self, req: ReqId) {
+        let alone = self.singled_out() || self.unheard();
+        let reply = if self.blind() && (!self.listed || alone) {
+            Reply::later(503, 1, "the state service doesn't answer")
+        } else {
+            Reply::ok(200, Vec::new())
+        };
+        self.answer(req, reply);
+    }
+
+    /// Most requests of a kind that wait at once.
+    fn waiting_most(&self) -> usize {
+        let sockets = self.settings.platform.facts.resources.max_sockets;
+        (sockets as f64 * WAITING_SHARE) as usize
+    }
+
+    pub(crate) fn pump_front(&mut self) {
+        self.pump_naming();
+        self.pump_cancellations();
+        self.pump_unknown();
+        self.pump_submissions();
+    }
+
+    /// Gives up what can't be answered in time. The answer goes out at once.
+    pub(crate) fn front_housekeeping(&mut self) {
+        let (now, mut late) = (self.now, self.stuck_departures());
+        let leave_s = self.settings.leave_s();
+        let f = &mut self.front;
+        f.leaving.retain(|q| !late.contains(&q.req));
+        for (queue, most_s) in [
+            (&mut f.questions, QUESTION_S),
+            (&mut f.unknown, QUESTION_S),
+            (&mut f.cancellations, QUESTION_S),
+            (&mut f.leaving, leave_s),
+        ] {
+            queue.retain(|q| {
+                let most_s = match q.intent {
+                    Intent::Poll => QUESTION_S.min(most_s),
+                    _ => most_s,
+                };
+                let keep = now.since(q.asked) < most_s;
+                if !keep {
+                    late.push(q.req);
+                }
+                keep
+            });
+        }
+        let mut in_time = |s: &Submission| {
+            let keep = now.since(s.asked) < SUBMIT_S;
+            if !keep {
+                late.push(s.req);
+            }
+            keep
+        };
+        f.submissions.retain(&mut in_time);
+        f.naming.retain(|n| in_time(&n.submission));
+        for req in late {
+            self.answer(req, Reply::later(503, 2, "the state service is slow"));
+        }
+    }
+}
--- a/src/core/holder/intake.rs
+++ b/src/core/holder/intake.rs
@@ -50,7 +50,7 @@
             live.revision = job.revision;
             if job.withdrawn.is_some() && live.withdrawn.is_none() {
                 live.withdrawn = job.withdrawn;
-                self.halt_withdrawn(id);
+                self.halt_cancelled(id);
             }
             return;
         }
@@ -98,7 +98,7 @@
         if live.withdrawn.is_some() {
             // It was cancelled under an earlier holder, whose halts may never have
             // gone out: this one has to send its own.
-            return self.halt_withdrawn(id);
+            return self.halt_cancelled(id);
         }
         if live.done_count == live.rec.count {
             h.to_finish.insert(id.clone());
@@ -141,7 +141,7 @@
             Needs::Cancelled => {
                 info!("job {id} is cancelled with one that it needs");
                 live.withdrawn = Some(now);
-                self.halt_withdrawn(id);
+                self.halt_cancelled(id);
             }
         }
     }
@@ -176,7 +176,7 @@
     }
 
     /// Stops every task of a withdrawn job: nothing they do is of use any more.
-    fn halt_withdrawn(&mut self, id: &JobId) {
+    fn halt_cancelled(&mut self, id: &JobId) {
         let now = self.now;
         let Some(h) = &mut self.holder else {
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -48,7 +48,7 @@
 pub enum Request {
     Submit(Result<(JobId, JobRec), BadBody>),
     Poll(JobId),
-    Withdraw(JobId),
+    Cancel(JobId),
     Up,
     Report(Report),
 }
@@ -138,7 +138,7 @@
     Elect,
     Extend,
     Submit(Vec<front::Submission>),
-    Withdraw(front::Question),
+    Cancel(front::Question),
     ReadEnd(front::Question),
     /// The end of a job that a submission names.
     ReadNamed(Box<front::NamingSubmission>, JobId),
--- a/src/net.rs
+++ b/src/net.rs
@@ -982,7 +982,7 @@
     };
     let id = JobId::parse(id).ok_or((404, "no such job"))?;
     if withdraw {
-        want("POST", Request::Withdraw(id))
+        want("POST", Request::Cancel(id))
     } else {
         want("GET", Request::Poll(id))
     }
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -79,7 +79,7 @@
             (Intent::Withdraw, _) => {
                 let now = self.now;
                 self.checker.cancel_asked(now, id);
-                Request::Withdraw(id.clone())
+                Request::Cancel(id.clone())
             }
             (Intent::Probe, _) => Request::Up,
             (Intent::Submit | Intent::Repeat, Some(body)) => {
