The holder writes with what the other controllers leave of the changes

Every change comes back through the follow, so what others write is known; at least a third of their share stays theirs.

--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Share of what the other controllers may write that the holder leaves to them at least.
+const KEPT_FOR_OTHERS: f64 = 0.35;
+/// How much more than they wrote of late the others may write before the holder knows.
+const USED_MARGIN: f64 = 1.5;
+
 impl Core {
     /// Splits the limits that all controllers use together. A single block's holder
     /// places for all and gets more, the others share the rest; with several blocks
@@ -16,9 +21,17 @@
             (_, false) => t.budget_holder,
             (n, true) => (1.0 - t.budget_holder) / f64::from(n),
         };
-        let part = part * t.budget_share;
         let limits = f.state.strictest();
-        let (rps, wps) = (limits.rps * part, limits.write_rps * part);
+        let rps = limits.rps * part * t.budget_share;
+        let all = limits.write_rps * t.budget_share;
+        let mut wps = all * part;
+        if others > 0 && single && !self.parked.is_empty() {
+            // Placements, results and ends are written here alone, and the others seldom use all
+            // of their share: with many short tasks that kept ends waiting for seconds.
+            let theirs = all - wps;
+            let used = self.change_meter.others() * USED_MARGIN;
+            wps = all - used.clamp(theirs * KEPT_FOR_OTHERS, theirs);
+        }
         // Those who don't lead ask the cloud for its catalogue and delete machines.
         let cloud = f.cloud.rps * t.budget_share;
         let cloud = match (others, single, self.lead.is_some()) {
@@ -59,6 +72,7 @@
         let call = Call {
             purpose,
             sent,
+            changes: cost,
             tenure,
         };
         self.calls.insert(id, call);
@@ -86,8 +100,12 @@
         let Call {
             purpose,
             sent,
+            changes,
             tenure,
         } = call;
+        if matches!(reply, StateReply::Committed { .. }) {
+            self.change_meter.note_own(changes);
+        }
         match &reply {
             StateReply::Refused | StateReply::NoAnswer | StateReply::Strange => {}
             _ => self.heard_at = self.now,
--- /dev/null
+++ b/src/core/change_meter.rs
@@ -0,0 +1,51 @@
+//! How many changes a second the other controllers make at the state service.
+//!
+//! Every change comes back through the follow. What a controller didn't write itself, others did,
+//! so the holder of the only block can use what they leave of the common limit.
+
+use crate::ids::Time;
+
+/// Changes are counted over this time.
+const WINDOW_S: f64 = 1.0;
+/// Share of the latest count in what others are taken to make, when it is lower than before. A
+/// higher count is taken at once.
+const FALL: f64 = 0.25;
+
+/// Counts changes by whom they were made.
+#[derive(Debug, Default)]
+pub(crate) struct ChangeMeter {
+    /// Changes seen through the follow in this window, and those of them made here.
+    seen: f64,
+    own: f64,
+    since: Time,
+    others: f64,
+}
+
+impl ChangeMeter {
+    /// Takes note of changes that the follow brought.
+    pub fn note_seen(&mut self, changes: usize) {
+        self.seen += changes as f64;
+    }
+
+    /// Takes note of changes made here.
+    pub fn note_own(&mut self, changes: f64) {
+        self.own += changes;
+    }
+
+    /// Ends the window if it is over; true if it was.
+    pub fn advance(&mut self, now: Time) -> bool {
+        let passed = now.since(self.since);
+        if passed < WINDOW_S {
+            return false;
+        }
+        let rate = (self.seen - self.own).max(0.0) / passed;
+        self.others = rate.max(self.others + (rate - self.others) * FALL);
+        (self.seen, self.own, self.since) = (0.0, 0.0, now);
+        true
+    }
+
+    /// Changes a second that others make.
+    pub fn others(&self) -> f64 {
+        self.others
+    }
+}
--- a/src/core/follow.rs
+++ b/src/core/follow.rs
@@ -105,6 +105,7 @@
         match reply {
             StateReply::News { revision, news } => {
                 let now = self.now;
+                self.change_meter.note_seen(news.len());
                 self.known_at = self.known_at.max(sent);
                 let events: Vec<Event> = news
                     .into_iter()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod blocks;
 pub mod budget;
 mod calls;
+mod change_meter;
 pub mod chunks;
 pub mod dependencies;
 mod election;
@@ -31,6 +32,7 @@
 use crate::wire::*;
 use blocks::Lead;
 use budget::{Bucket, Priority};
+use change_meter::ChangeMeter;
 use holder::Holder;
 use jobs::{Cache, Event};
 use records::*;
@@ -156,6 +158,8 @@
 pub(crate) struct Call {
     purpose: Purpose,
     sent: Time,
+    /// Changes that it makes, if it is carried out.
+    changes: f64,
     /// The block in hand when it was sent: its answer means nothing to another
     /// holding of that block.
     tenure: Tenure,
@@ -212,6 +216,7 @@
     cloud_calls: HashMap<CallId, (autoscaler::CloudPurpose, Tenure)>,
     requests: Bucket,
     changes: Bucket,
+    change_meter: ChangeMeter,
     cloud_budget: Bucket,
     pub(crate) cache: Cache,
     sync: Sync,
@@ -271,6 +276,7 @@
         let mut core = Self {
             requests: Bucket::new(1.0, 1.0),
             changes: Bucket::new(1.0, 1.0),
+            change_meter: ChangeMeter::default(),
             cloud_budget,
             settings,
             boot,
@@ -411,6 +417,9 @@
         self.each_block(Self::holder_housekeeping);
         self.catalog_housekeeping();
         self.lead_housekeeping();
+        if self.change_meter.advance(self.now) {
+            self.share_budgets();
+        }
         if self.now >= self.hello_at {
             self.hello_at = self.now.after(1.0);
             self.say_hello();
