--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,70 @@
+//! What the platform hands over (JSON) and what operators set (properties).
+//!
+//! Both are checked when they are read: an error names file, key and reason. Figures that follow
+//! from them are worked out in `derived`.
+
+#![warn(missing_docs)]
+
+mod derived;
+mod platform;
+mod state_limits;
+mod tuning;
+
+pub use platform::{
+    CloudLimits, Facts, Objective, Platform, Resources, Services, Sibling, Team, Workers,
+};
+pub use state_limits::{NextStateLimits, StateLimits, StrictestLimits};
+pub use tuning::Tuning;
+
+use std::path::Path;
+use thiserror::Error;
+
+/// A setting that ends the start: names file, key and reason in one line.
+#[derive(Debug, Error)]
+#[error("{file}: {key}: {reason}")]
+pub struct SettingsError {
+    /// The file that has it.
+    pub file: String,
+    /// The setting, or the line.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+fn bad(file: &str, key: &str, reason: impl Into<String>) -> SettingsError {
+    SettingsError {
+        file: file.into(),
+        key: key.into(),
+        reason: reason.into().replace('\n', " "),
+    }
+}
+
+/// Everything that a controller is started with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// From the platform.
+    pub platform: Platform,
+    /// From the operators.
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    /// Reads and checks both files.
+    pub fn load(config: &Path, properties: Option<&Path>) -> Result<Self, SettingsError> {
+        let name = config.display().to_string();
+        let text = read(config, &name)?;
+        let platform = Platform::parse(&text, &name)?;
+        let tuning = match properties {
+            None => Tuning::parse(None)?,
+            Some(path) => {
+                let name = path.display().to_string();
+                Tuning::parse(Some((&name, &read(path, &name)?)))?
+            }
+        };
+        Ok(Self { platform, tuning })
+    }
+}
+
+fn read(path: &Path, name: &str) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|e| bad(name, "(file)", e.to_string()))
+}
--- /dev/null
+++ b/src/settings/tuning.rs
@@ -0,0 +1,99 @@
+//! What operators set, as Java-style properties.
+
+use super::{SettingsError, bad};
+use std::collections::HashMap;
+
+/// The documented defaults, as they stand in the repository.
+const DEFAULTS: &str = include_str!("../../deploy/salttrestle.properties");
+
+/// Operators' settings; `deploy/salttrestle.properties` documents each key in full.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// `leader.grant-s`: life of the leader's grant, in seconds.
+    pub grant_s: f64,
+    /// `block.lease-s`: life of a block's lease, in seconds.
+    pub block_lease_s: f64,
+    /// `block.min-machines`: fewest machines of a block.
+    pub block_min: f64,
+    /// `block.cpu`: share of the processor that a block's holder may use.
+    pub block_cpu: f64,
+    /// `scale.tick-s`: the autoscaler's tick, in seconds.
+    pub tick_s: f64,
+    /// `scale.rise`: machines that one tick may add to a pool.
+    pub rise: f64,
+    /// `scale.rise-share`: or this share of what the pool lacks.
+    pub rise_share: f64,
+    /// `scale.ceiling`: most machines of a type; 0 for as many as can be served.
+    pub ceiling: f64,
+    /// `scale.window`: how long a lower count must hold, in boot times.
+    pub window: f64,
+    /// `scale.headroom`: room kept free, in standard deviations of demand.
+    pub headroom: f64,
+    /// `budget.share`: part of the limits that the controllers use together.
+    pub budget_share: f64,
+    /// `budget.holder`: part of that for a block's holder.
+    pub budget_holder: f64,
+    /// `report.hold`: how long a report's answer may wait, in report intervals.
+    pub report_hold: f64,
+    /// `health.silent`: when a silent machine is deleted, in leases.
+    pub silent: f64,
+    /// `health.boot`: when a booting machine is replaced, in usual boot times.
+    pub boot: f64,
+}
+
+impl Tuning {
+    /// The embedded defaults, with single keys overridden by an operator's file.
+    pub fn parse(over: Option<(&str, &str)>) -> Result<Self, SettingsError> {
+        let mut table = properties("(defaults)", DEFAULTS)?;
+        let mut file = "(defaults)";
+        if let Some((name, text)) = over {
+            file = name;
+            for (key, value) in properties(name, text)? {
+                if table.insert(key.clone(), value).is_none() {
+                    return Err(bad(name, &key, "unknown key"));
+                }
+            }
+        }
+        let num = |key: &str, low: f64, high: f64| number(&table, file, key, low, high);
+        Ok(Self {
+            grant_s: num("leader.grant-s", 0.5, 60.0)?,
+            block_lease_s: num("block.lease-s", 1.0, 600.0)?,
+            block_min: num("block.min-machines", 1.0, 1e6)?,
+            block_cpu: num("block.cpu", 1e-6, 1.0)?,
+            tick_s: num("scale.tick-s", 0.5, 300.0)?,
+            rise: num("scale.rise", 1.0, 50.0)?,
+            rise_share: num("scale.rise-share", 0.0, 1.0)?,
+            ceiling: num("scale.ceiling", 0.0, 1e6)?,
+            window: num("scale.window", 0.0, 100.0)?,
+            headroom: num("scale.headroom", 0.0, 10.0)?,
+            budget_share: num("budget.share", 0.05, 1.0)?,
+            budget_holder: num("budget.holder", 0.1, 0.9)?,
+            report_hold: num("report.hold", 0.0, 1.0)?,
+            silent: num("health.silent", 0.3, 100.0)?,
+            boot: num("health.boot", 1.5, 100.0)?,
+        })
+    }
+}
+
+fn properties(file: &str, text: &str) -> Result<HashMap<String, String>, SettingsError> {
+    java_properties::read(text.as_bytes()).map_err(|e| bad(file, "(file)", e.to_string()))
+}
+
+fn number(
+    table: &HashMap<String, String>,
+    file: &str,
+    key: &str,
+    low: f64,
+    high: f64,
+) -> Result<f64, SettingsError> {
+    let text = table.get(key).ok_or_else(|| bad(file, key, "is missing"))?;
+    let value: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| bad(file, key, format!("'{text}' is not a number")))?;
+    if value.is_finite() && (low..=high).contains(&value) {
+        Ok(value)
+    } else {
+        Err(bad(file, key, format!("must lie in {low} to {high}")))
+    }
+}
