--- a/src/core/holder/intake.rs
+++ b/src/core/holder/intake.rs
@@ -42,65 +42,48 @@
         let Some(job) = self.cache.jobs.get(id) else {
             return;
         };
-        let now = self.now;
         let Some(h) = self.holder.as_mut().filter(|h| h.block == job.rec.block) else {
             return;
         };
-        if let Some(live) = h.jobs.get_mut(id) {
-            live.revision = job.revision;
-            if job.withdrawn.is_some() && live.withdrawn.is_none() {
-                live.withdrawn = job.withdrawn;
-                self.halt_cancelled(id);
-            }
-            return;
+        let Some(live) = h.jobs.get_mut(id) else {
+            return self.take_in(id);
+        };
+        live.revision = job.revision;
+        if job.withdrawn.is_some() && live.withdrawn.is_none() {
+            live.withdrawn = job.withdrawn;
+            self.halt_cancelled(id);
         }
-        let mut doubts = Vec::new();
+    }
+
+    /// Takes in a job, with what earlier holders wrote of it.
+    fn take_in(&mut self, id: &JobId) {
+        let now = self.now;
+        let (Some(job), Some(h)) = (self.cache.jobs.get(id), &mut self.holder) else {
+            return;
+        };
         let (runs, layout) = self.cache.effective_runs(id, &job.rec);
         let mut live = JobState::new(job, layout, now);
+        live.set_rank(job.rank);
+        let mut doubts = Vec::new();
         for (chunk, revision, run) in runs {
-            let entry = live.chunks.entry(chunk).or_default();
-            entry.revision = revision;
-            for (from, to) in &run.done {
-                for index in *from..(*to).min(live.rec.count) {
-                    if !std::mem::replace(&mut live.done[index as usize], true) {
-                        live.done_count += 1;
-                    }
-                }
-            }
+            live.chunks.entry(chunk).or_default().revision = revision;
+            live.restore_done(&run.done);
             doubts.extend(run.placed.iter().cloned());
             h.failures
                 .restore(now, id, run.failed_tries, &run.failed_on);
         }
-        live.set_rank(job.rank);
+        let cancelled = live.withdrawn.is_some();
+        let all_done = live.done_count == live.rec.count;
         h.jobs.insert(id.clone(), live);
-        for (index, attempt, machine, zone) in doubts {
-            if !h.machines.contains_key(&machine) && !h.gone.contains_key(&machine) {
-                // Known by name only until it reports. If it never does, it is
-                // deleted, which proves its tasks gone.
-                let mut known = Machine::new(&[], "", &zone, false, now);
-                known.up = Some(now);
-                h.machines.insert(machine.clone(), known);
-            }
-            let placement = Placement {
-                machine,
-                zone: zone.as_str().into(),
-                attempt,
-                phase: Phase::Doubt,
-                since: now,
-                halted: None,
-                sends: 0,
-                // An earlier holder has seen it start: that it runs is no news of its machine.
-                runs_well: true,
-            };
-            h.put(id, index, placement);
+        for placed in doubts {
+            h.doubt(now, id, placed);
         }
-        let live = &h.jobs[id];
-        if live.withdrawn.is_some() {
+        if cancelled {
             // It was cancelled under an earlier holder, whose halts may never have
             // gone out: this one has to send its own.
             return self.halt_cancelled(id);
         }
-        if live.done_count == live.rec.count {
+        if all_done {
             h.to_finish.insert(id.clone());
         }
         self.holder_needs_changed(id);
@@ -208,3 +191,28 @@
         }
     }
 }
+
+impl Holder {
+    /// Enters a placement of an earlier holder: it counts until it is proven gone.
+    fn doubt(&mut self, now: Time, job: &JobId, (index, attempt, machine, zone): Placed) {
+        if !self.machines.contains_key(&machine) && !self.gone.contains_key(&machine) {
+            // Known by name only until it reports. If it never does, it is
+            // deleted, which proves its tasks gone.
+            let mut known = Machine::new(&[], "", &zone, false, now);
+            known.up = Some(now);
+            self.machines.insert(machine.clone(), known);
+        }
+        let placement = Placement {
+            machine,
+            zone: zone.as_str().into(),
+            attempt,
+            phase: Phase::Doubt,
+            since: now,
+            halted: None,
+            sends: 0,
+            // An earlier holder has seen it start: that it runs is no news of its machine.
+            runs_well: true,
+        };
+        self.put(job, index, placement);
+    }
+}
--- a/src/core/holder/job_state.rs
+++ b/src/core/holder/job_state.rs
@@ -105,6 +105,17 @@
         !self.done[index as usize] && !self.placed.contains_key(&index)
     }
 
+    /// Takes over which tasks are finished.
+    pub(super) fn restore_done(&mut self, ranges: &[(u32, u32)]) {
+        for (from, to) in ranges {
+            for index in *from..(*to).min(self.rec.count) {
+                if !std::mem::replace(&mut self.done[index as usize], true) {
+                    self.done_count += 1;
+                }
+            }
+        }
+    }
+
     /// How soon the present state of a chunk or part is to be written.
     pub(super) fn write_urgency(&self, chunk: u32) -> WriteUrgency {
         let mut placed = self.placed.range(self.layout.tasks_of(chunk));
--- /dev/null
+++ b/src/net/connections.rs
@@ -0,0 +1,375 @@
+//! Connections: how they are accepted, read, written, shed and closed.
+
+use super::Net;
+use super::calls::Service;
+use crate::core::Input;
+use crate::core::{CallId, Link, ReqId};
+use crate::http::{Decoder, Side};
+use crate::ids::{Member, Time};
+use crate::{peer, wire};
+use log::{debug, warn};
+use polling::{Event, PollMode};
+use socket2::{Domain, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+
+/// Sockets kept for the state service, the cloud, siblings and listeners.
+const OUTGOING_SOCKETS: usize = 40;
+/// Share of the other sockets that workers may use: users and health checks get through
+/// however many machines there are. Users' connections give way to workers' below that.
+pub(super) const WORKER_SHARE: f64 = 0.75;
+/// Most bytes that wait to be written to one connection.
+const OUT_MAX: usize = 1 << 20;
+const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
+/// Quiet connections are closed after this time, or sooner when sockets are short.
+const IDLE_S: f64 = 90.0;
+/// Answers from the state service have no size limit; a follow that brings more than
+/// this at once is given up, and the connection with it.
+pub(super) const ANSWER_MAX: usize = 8 << 20;
+/// A whole request has to come within this time.
+const REQUEST_S: f64 = 10.0;
+pub(super) const FIRST_CONN: usize = 2;
+
+pub(super) enum Role {
+    Server {
+        decoder: Decoder,
+        /// The request being answered; no other is read meanwhile.
+        pending: Option<ReqId>,
+        close: bool,
+        worker: bool,
+    },
+    Client {
+        service: Service,
+        decoder: Decoder,
+        call: Option<CallId>,
+    },
+    PeerIn {
+        buf: Vec<u8>,
+    },
+    PeerOut {
+        to: Member,
+        /// Whether the connection stands.
+        made: bool,
+    },
+}
+
+pub(super) struct Conn {
+    pub(super) stream: TcpStream,
+    pub(super) role: Role,
+    pub(super) out: Vec<u8>,
+    /// Whether writability is waited for.
+    pub(super) writing: bool,
+    /// When something last came or, for a new connection, when it was opened.
+    pub(super) active: Time,
+    /// The other side refused the connection.
+    pub(super) refused: bool,
+}
+
+impl Net {
+    // ---- connections
+
+    pub(super) fn accept(&mut self, peer: bool) {
+        loop {
+            let listener = if peer {
+                &self.peer_listener
+            } else {
+                &self.listener
+            };
+            match listener.accept() {
+                Ok((stream, _)) => self.accepted(stream, peer),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    warn!("can't accept: {e}");
+                    self.shed();
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn accepted(&mut self, stream: TcpStream, peer: bool) {
+        if self.inbound >= self.room() && !self.shed() {
+            return;
+        }
+        let role = if peer {
+            Role::PeerIn { buf: Vec::new() }
+        } else {
+            Role::Server {
+                decoder: Decoder::new(Side::Request, wire::BODY_MAX),
+                pending: None,
+                close: false,
+                worker: false,
+            }
+        };
+        if stream.set_nonblocking(true).is_ok() && self.add(stream, role).is_some() {
+            self.inbound += 1;
+        }
+    }
+
+    /// Sockets for those who connect.
+    pub(super) fn room(&self) -> usize {
+        let all = self.settings.platform.facts.resources.max_sockets;
+        all.saturating_sub(OUTGOING_SOCKETS).max(8)
+    }
+
+    /// Closes the user connection that has been quiet for longest, to make room.
+    pub(super) fn shed(&mut self) -> bool {
+        let quiet = |c: &Conn| {
+            matches!(
+                &c.role,
+                Role::Server {
+                    pending: None,
+                    worker: false,
+                    ..
+                }
+            )
+        };
+        let candidates = self.conns.iter().filter(|(_, c)| quiet(c));
+        let oldest = candidates.min_by_key(|(_, c)| c.active).map(|(k, _)| *k);
+        match oldest {
+            Some(key) => {
+                self.close(key);
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub(super) fn add(&mut self, stream: TcpStream, role: Role) -> Option<usize> {
+        let key = self.next_key;
+        self.next_key += 1;
+        let _ = stream.set_nodelay(true);
+        // SAFETY: `close` takes the stream out of the poller before dropping it.
+        let added = unsafe {
+            self.poller
+                .add_with_mode(&stream, Event::readable(key), PollMode::Level)
+        };
+        if let Err(e) = added {
+            warn!("can't watch a connection: {e}");
+            return None;
+        }
+        let conn = Conn {
+            stream,
+            role,
+            out: Vec::new(),
+            writing: false,
+            active: self.now(),
+            refused: false,
+        };
+        self.conns.insert(key, conn);
+        Some(key)
+    }
+
+    pub(super) fn close(&mut self, key: usize) {
+        let Some(mut conn) = self.conns.remove(&key) else {
+            return;
+        };
+        let _ = self.poller.delete(&conn.stream);
+        match &mut conn.role {
+            Role::Server {
+                pending, worker, ..
+            } => {
+                self.inbound -= 1;
+                self.workers -= usize::from(*worker);
+                if let Some(req) = pending.take() {
+                    self.requests.remove(&req);
+                    self.inputs.push_back(Input::Disconnect(req));
+                }
+            }
+            Role::PeerIn { .. } => self.inbound -= 1,
+            Role::Client {
+                service,
+                decoder,
+                call,
+            } => {
+                let (service, call) = (*service, *call);
+                *self.open.entry(service).or_default() -= 1;
+                self.idle.entry(service).or_default().retain(|k| *k != key);
+                if let Some(id) = call {
+                    match decoder.closed() {
+                        Some(message) => self.finish_call(id, Some(&message)),
+                        None => self.finish_call(id, None),
+                    }
+                }
+                self.start_queued(service);
+            }
+            Role::PeerOut { to, .. } => {
+                self.peers.remove(to);
+                let link = if conn.refused {
+                    Link::Refused
+                } else {
+                    Link::Lost
+                };
+                self.inputs.push_back(Input::Link(to.clone(), link));
+            }
+        }
+    }
+
+    pub(super) fn ready(&mut self, key: usize, event: Event, buf: &mut [u8]) {
+        if event.writable {
+            self.check_link(key);
+            if !self.flush(key) {
+                return self.close(key);
+            }
+        }
+        if event.readable || event.is_err() == Some(true) {
+            self.read(key, buf);
+        }
+    }
+
+    pub(super) fn read(&mut self, key: usize, buf: &mut [u8]) {
+        let now = self.now();
+        loop {
+            let Some(conn) = self.conns.get_mut(&key) else {
+                return;
+            };
+            let n = match conn.stream.read(buf) {
+                Ok(0) => return self.close(key),
+                Ok(n) => n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => return self.close(key),
+            };
+            conn.active = now;
+            let good = match &mut conn.role {
+                Role::Server { decoder, .. } | Role::Client { decoder, .. } => {
+                    decoder.feed(&buf[..n]);
+                    self.messages(key)
+                }
+                Role::PeerIn { buf: all } => {
+                    all.extend_from_slice(&buf[..n]);
+                    self.hellos(key)
+                }
+                // Siblings only listen on this one.
+                Role::PeerOut { .. } => true,
+            };
+            if !good {
+                return self.close(key);
+            }
+            if n < buf.len() {
+                return;
+            }
+        }
+    }
+
+    /// Sends bytes; false when the connection is broken or takes nothing.
+    pub(super) fn send(&mut self, key: usize, bytes: &[u8]) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        let most = match conn.role {
+            Role::PeerOut { .. } => PEER_OUT_MAX,
+            _ => OUT_MAX,
+        };
+        if conn.out.len() + bytes.len() > most {
+            return false;
+        }
+        conn.out.extend_from_slice(bytes);
+        self.flush(key)
+    }
+
+    pub(super) fn flush(&mut self, key: usize) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return true;
+        };
+        let mut sent = 0;
+        while sent < conn.out.len() {
+            match conn.stream.write(&conn.out[sent..]) {
+                Ok(0) => return false,
+                Ok(n) => sent += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // A connection that isn't made yet can't be written to either.
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => {
+                    break;
+                }
+                Err(_) => return false,
+            }
+        }
+        conn.out.drain(..sent);
+        let writing = !conn.out.is_empty();
+        if writing != conn.writing {
+            conn.writing = writing;
+            let event = Event::new(key, true, writing);
+            let set = self
+                .poller
+                .modify_with_mode(&conn.stream, event, PollMode::Level);
+            if set.is_err() {
+                return false;
+            }
+        }
+        let Some(conn) = self.conns.get(&key) else {
+            return true;
+        };
+        let closing = matches!(
+            &conn.role,
+            Role::Server {
+                pending: None,
+                close: true,
+                ..
+            }
+        );
+        !(closing && conn.out.is_empty())
+    }
+
+    // ---- time
+
+    /// Ends calls and connections whose time is over.
+    pub(super) fn sweep(&mut self, now: Time) {
+        while let Some((at, id)) = self.deadlines.first().copied() {
+            if at > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            let conn = self.calls.get(&id).and_then(|c| c.conn);
+            debug!("call {} has no answer", id.0);
+            self.finish_call(id, None);
+            if let Some(key) = conn {
+                if let Some(Conn {
+                    role: Role::Client { call, .. },
+                    ..
+                }) = self.conns.get_mut(&key)
+                {
+                    *call = None;
+                }
+                self.close(key);
+            }
+        }
+        let over = |c: &Conn| match &c.role {
+            Role::Server {
+                pending: None,
+                decoder,
+                ..
+            } => {
+                let quiet = now.since(c.active);
+                quiet > IDLE_S || (decoder.midway() && quiet > REQUEST_S)
+            }
+            _ => false,
+        };
+        let old: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| over(c))
+            .map(|(k, _)| *k)
+            .collect();
+        for key in old {
+            self.close(key);
+        }
+    }
+}
+
+/// Begins a connection without waiting for it.
+pub(super) fn open(to: SocketAddrV4) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&SocketAddr::V4(to).into()) {
+        Ok(()) => {}
+        Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+        // EINPROGRESS has no kind of its own that is stable.
+        Err(e) if e.raw_os_error() == Some(EINPROGRESS) => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
+}
+
+pub(super) const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,194 @@
+//! The `polling` loop: sockets, timers, reconnects. It turns bytes into the core's
+//! inputs and carries out its outputs.
+
+mod calls;
+mod connections;
+mod peers;
+mod requests;
+
+use crate::core::{CallId, Core, Input, Output, ReqId};
+use crate::gauge::Gauge;
+use crate::ids::{Member, Time};
+use crate::peer;
+use crate::settings::Settings;
+use calls::{Op, Outgoing, Service};
+use connections::{Conn, FIRST_CONN};
+use log::{info, warn};
+use polling::{Event, Events, PollMode, Poller};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddrV4, TcpListener};
+use std::time::{Duration, Instant};
+
+const LISTEN: usize = 0;
+const PEER_LISTEN: usize = 1;
+
+/// The clock starts late, so that the moment 0 lies long ago.
+const CLOCK_START_MS: u64 = 10_000_000;
+/// Open files that aren't connections: listeners, the poller's, the standard streams.
+const OTHER_FILES: usize = 16;
+const SWEEP_MS: u64 = 100;
+const READ_CHUNK: usize = 16 * 1024;
+
+struct Net {
+    poller: Poller,
+    listener: TcpListener,
+    peer_listener: TcpListener,
+    settings: Settings,
+    core: Core,
+    started: Instant,
+    conns: HashMap<usize, Conn>,
+    next_key: usize,
+    next_req: u64,
+    /// Which connection a request came on.
+    requests: HashMap<ReqId, usize>,
+    calls: HashMap<CallId, Outgoing>,
+    deadlines: BTreeSet<(Time, CallId)>,
+    idle: HashMap<Service, Vec<usize>>,
+    open: HashMap<Service, usize>,
+    queued: HashMap<Service, VecDeque<CallId>>,
+    peers: HashMap<Member, usize>,
+    peer_retry: HashMap<Member, Time>,
+    inputs: VecDeque<Input>,
+    sweep_at: Time,
+    inbound: usize,
+    /// Connections on which workers reported.
+    workers: usize,
+    gauge: Gauge,
+}
+
+/// Runs the service until the process is killed.
+pub fn run(settings: Settings, boot: u64) -> io::Result<()> {
+    let poller = Poller::new()?;
+    let listener = listen(&poller, settings.platform.listen, LISTEN)?;
+    let peer_listener = listen(&poller, settings.platform.peer_listen, PEER_LISTEN)?;
+    allow_files(settings.platform.facts.resources.max_sockets);
+    info!(
+        "salttrestle {} as {} on {}",
+        env!("CARGO_PKG_VERSION"),
+        settings.platform.member,
+        settings.platform.listen
+    );
+    let mut net = Net {
+        poller,
+        listener,
+        peer_listener,
+        core: Core::new(settings.clone(), boot),
+        settings,
+        started: Instant::now(),
+        conns: HashMap::new(),
+        next_key: FIRST_CONN,
+        next_req: 0,
+        requests: HashMap::new(),
+        calls: HashMap::new(),
+        deadlines: BTreeSet::new(),
+        idle: HashMap::new(),
+        open: HashMap::new(),
+        queued: HashMap::new(),
+        peers: HashMap::new(),
+        peer_retry: HashMap::new(),
+        inputs: VecDeque::new(),
+        sweep_at: Time(0),
+        inbound: 0,
+        workers: 0,
+        gauge: Gauge::new(Time(CLOCK_START_MS)),
+    };
+    net.run()
+}
+
+/// A system's usual limit on open files may be far below the sockets that the platform
+/// grants: raises it as far as it goes.
+fn allow_files(sockets: usize) {
+    let wanted = (sockets + OTHER_FILES) as u64;
+    match rlimit::increase_nofile_limit(wanted) {
+        Ok(got) if got >= wanted => info!("{got} files may be open, for {sockets} sockets"),
+        Ok(got) => warn!("only {got} files may be open, for {sockets} sockets"),
+        Err(e) => warn!("the limit on open files isn't known: {e}"),
+    }
+}
+
+fn listen(poller: &Poller, at: SocketAddrV4, key: usize) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(at)?;
+    listener.set_nonblocking(true)?;
+    // SAFETY: the listener lives as long as the poller, to the end of the process.
+    unsafe { poller.add_with_mode(&listener, Event::readable(key), PollMode::Level)? };
+    Ok(listener)
+}
+
+impl Net {
+    fn now(&self) -> Time {
+        Time(CLOCK_START_MS + self.started.elapsed().as_millis() as u64)
+    }
+
+    fn run(&mut self) -> io::Result<()> {
+        let mut events = Events::new();
+        let mut buf = vec![0; READ_CHUNK];
+        loop {
+            self.work();
+            let now = self.now();
+            let wake = self.core.wake_at().min(self.sweep_at);
+            let wait = Duration::from_millis(wake.0.saturating_sub(now.0));
+            events.clear();
+            match self.poller.wait(&mut events, Some(wait)) {
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            }
+            for event in events.iter() {
+                match event.key {
+                    LISTEN => self.accept(false),
+                    PEER_LISTEN => self.accept(true),
+                    key => self.ready(key, event, &mut buf),
+                }
+            }
+        }
+    }
+
+    /// Feeds the core what has come, and lets it see the time.
+    fn work(&mut self) {
+        let now = self.now();
+        if now >= self.sweep_at {
+            self.sweep_at = Time(now.0 + SWEEP_MS);
+            self.sweep(now);
+            self.tell_load(now);
+        }
+        while let Some(input) = self.inputs.pop_front() {
+            self.step(input);
+        }
+        if now >= self.core.wake_at() {
+            self.step(Input::Tick);
+            while let Some(input) = self.inputs.pop_front() {
+                self.step(input);
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let began = Instant::now();
+        let now = self.now();
+        let outputs = self.core.step(now, input);
+        self.gauge.step(began.elapsed());
+        for output in outputs {
+            match output {
+                Output::Answer(req, reply) => self.answer(req, &reply),
+                Output::State(call, op) => self.start_call(call, Op::State(op)),
+                Output::Cloud(call, op) => self.start_call(call, Op::Cloud(op)),
+                Output::Forget(call) => self.end_call(call),
+                Output::Peer(to, message) => match peer::frame(&message) {
+                    Ok(bytes) => self.say(to.as_ref(), &bytes),
+                    // Whoever waits for it does without, as if it had been lost.
+                    Err(size) => warn!("a message of {size} bytes to siblings is too large"),
+                },
+            }
+        }
+    }
+
+    /// Tells an operator from time to time which limit is near.
+    fn tell_load(&mut self, now: Time) {
+        let load = self.core.load();
+        let most = self.settings.platform.facts.resources.max_sockets;
+        if let Some(line) = self.gauge.line(now, &load, self.conns.len(), most) {
+            info!("{line}");
+        }
+    }
+}
