--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -130,6 +130,27 @@
     pub placed: u64,
 }
 
+/// What waits in the blocks that this controller holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Queue {
+    /// Jobs that wait until others are done.
+    pub waiting_for_others: usize,
+    /// Jobs with tasks that wait for a machine.
+    pub waiting_for_room: usize,
+    /// Tasks that wait for a machine.
+    pub tasks: usize,
+}
+
+impl std::fmt::Display for Queue {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "queue: {} jobs wait for others, {} tasks of {} jobs for a machine",
+            self.waiting_for_others, self.tasks, self.waiting_for_room
+        )
+    }
+}
+
 /// What a call to the state service is for.
 #[derive(Debug)]
 pub(crate) enum Purpose {
@@ -375,6 +396,21 @@
         }
     }
 
+    /// What waits here, if this controller holds a block.
+    pub fn queue(&self) -> Option<Queue> {
+        if self.parked.is_empty() {
+            return None;
+        }
+        let mut queue = Queue::default();
+        for live in self.parked.values().flat_map(|h| h.jobs.values()) {
+            let tasks = live.queued() as usize;
+            queue.waiting_for_others += usize::from(live.withdrawn.is_none() && !live.released);
+            queue.waiting_for_room += usize::from(tasks > 0);
+            queue.tasks += tasks;
+        }
+        Some(queue)
+    }
+
     /// Recounts what is kept up to date from change to change; says what is wrong.
     pub fn audit(&self) -> Result<(), String> {
         self.parked.values().try_for_each(Holder::audit)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -189,6 +189,9 @@
         let most = self.settings.platform.facts.resources.max_sockets;
         if let Some(line) = self.gauge.line(now, &load, self.conns.len(), most) {
             info!("{line}");
+            if let Some(queue) = self.core.queue() {
+                info!("{queue}");
+            }
         }
     }
 }
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -47,6 +47,8 @@
     pub looks: usize,
     pub odd: usize,
     pub cancelled_at_end: usize,
+    /// Most jobs that a holder counted at once as waiting for others.
+    pub waiting_for_others: usize,
     /// Tasks that failed.
     pub failures: usize,
     /// When takeovers were.
@@ -377,6 +379,7 @@
             "kept-reports" => self.met.kept_reports,
             "looks" => self.met.looks,
             "odd" => self.met.odd,
+            "waiting-for-others" => self.met.waiting_for_others,
             "rejected" => self.state.rejected,
             "in-parts" => self.jobs_in_parts(),
             "cancelled-at-end" => self.met.cancelled_at_end,
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -426,6 +426,9 @@
                 let cores = self.nodes.iter().filter_map(|n| n.core.as_ref());
                 let wrong = cores.filter_map(|c| c.audit().err());
                 self.checker.broken.extend(wrong);
+                let queues = self.nodes.iter().filter_map(|n| n.core.as_ref()?.queue());
+                let held = queues.map(|q| q.waiting_for_others).max().unwrap_or(0);
+                self.met.waiting_for_others = self.met.waiting_for_others.max(held);
                 let now = self.now;
                 self.checker.check_cancelled(now);
                 self.check_waiting();
