A rank that a job has from others stops only work that saves its progress

Order, commits, renting and not being stopped go by the inherited rank as before. Scenario pipelines_stop_no_one fails without.

--- a/src/core/holder/job_state.rs
+++ b/src/core/holder/job_state.rs
@@ -38,6 +38,8 @@
 #[derive(Debug)]
 pub struct JobState {
     pub rec: Rc<JobRec>,
+    /// The rank that it was submitted with; `rec` may have a higher one, of a job that needs it.
+    pub own_rank: Rank,
     /// In which records its tasks are.
     pub layout: ChunkLayout,
     pub revision: u64,
@@ -74,6 +76,7 @@
     pub(super) fn new(job: &jobs::CachedJob, layout: ChunkLayout, now: Time) -> Self {
         Self {
             rec: job.rec.clone(),
+            own_rank: job.rec.rank,
             layout,
             revision: job.revision,
             arrival: job.revision,
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Whether its rank is that of a job that needs it.
+    pub(crate) fn rank_inherited(&self) -> bool {
+        self.rec.rank > self.own_rank
+    }
+
     pub(crate) fn is_queued(&self, index: u32) -> bool {
         !self.done[index as usize] && !self.placed.contains_key(&index)
     }
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -198,7 +198,8 @@
         let most = live.queued().min(8) as usize;
         let (victims, looked) = cheapest_victims(h, &self.catalog, live, now, most, &over);
         self.looked += looked;
-        if victims.is_empty() && !sure && !live.rec.one_zone && !live.rec.scatter {
+        let counts_for_all = !sure && !live.rank_inherited();
+        if victims.is_empty() && counts_for_all && !live.rec.one_zone && !live.rec.scatter {
             round.unyielding.push(live.rec.clone());
         }
         // Room of tasks that were never sent is free at once.
--- a/src/core/placement/preemption.rs
+++ b/src/core/placement/preemption.rs
@@ -43,7 +43,7 @@
     let mut lower: Vec<(f64, &TaskId, Room)> = Vec::new();
     for (t, seat) in &m.tasks {
         let rec = &seat.rec;
-        let below = rec.rank < live.rec.rank;
+        let below = rec.rank < live.rec.rank && yields_to(rec, live);
         let owed = rec.rank == live.rec.rank && over.contains(&rec.team.as_str());
         if !below && !owed {
             continue;
@@ -73,3 +73,11 @@
     }
     (free.holds(live.rec.need) && !out.is_empty()).then_some((loss, out))
 }
+
+/// Whether work may be stopped for a job as far as it loses by it. For a rank that a job has only
+/// from those that need it, just work that saves its progress is, beside what the job's own rank
+/// is above: arrays needed by pipelines stopped others of their class, which lost all they had
+/// done, and were needed or waited themselves soon after, again and again.
+fn yields_to(rec: &JobRec, live: &JobState) -> bool {
+    !live.rank_inherited() || rec.rank < live.own_rank || rec.checkpoint_s > 0.0
+}
