A chunk isn't written whole after its job was cut into parts

Found on reading the change once more: a transaction is built from a copy of the queue. When the first chunk of a job was cut into parts there, a second one of the same job, by then out of the queue, was written whole and with the size of a part. A later holder would have counted its tasks twice, and lost sight of one of two placements of a task. Entries that have left the queue are passed over, and whether a record is a part is told by its number alone. Scenario limits_fall_many_chunks (seen to fail: chunk 2 of j-1 has part 17); the stand-in state service checks every record for it.

--- a/src/core/chunks.rs
+++ b/src/core/chunks.rs
@@ -47,14 +47,14 @@
         }
     }
 
-    /// Whether chunks are written in parts.
-    pub fn in_parts(&self) -> bool {
-        self.part.is_some()
+    /// Whether this is the number of a part, not of a chunk.
+    pub fn is_part(chunk: u32) -> bool {
+        chunk >= Self::PART_BASE
     }
 
-    /// Tasks of a part, if chunks are written in parts.
-    pub fn part_size(&self) -> Option<u32> {
-        self.part
+    /// Tasks of a part, if this is the number of one.
+    pub fn part_size(&self, chunk: u32) -> Option<u32> {
+        self.part.filter(|_| Self::is_part(chunk))
     }
 
     /// The chunk or part in which a task is to be recorded.
@@ -68,7 +68,7 @@
     }
 
     /// The tasks of a chunk or part.
-    pub fn tasks_of(&self, chunk: u32) -> std::ops::Range<u32> {
+    pub fn tasks_of(&self, chunk: u32) -> Range<u32> {
         let Some(first) = chunk.checked_sub(Self::PART_BASE) else {
             let first = chunk.saturating_mul(self.chunk).min(self.count);
             return first..first.saturating_add(self.chunk).min(self.count);
@@ -110,10 +110,11 @@
     let runs: Vec<_> = runs.collect();
     let part = runs.iter().find_map(|(_, (_, run))| run.part);
     let layout = ChunkLayout::new(rec, part);
-    let parts = runs.iter().filter(|(_, (_, run))| run.part.is_some());
-    let replaced: Vec<Range<u32>> = parts.map(|(chunk, _)| layout.tasks_of(*chunk)).collect();
+    let parts = runs.iter().map(|(chunk, _)| *chunk);
+    let parts = parts.filter(|chunk| ChunkLayout::is_part(*chunk));
+    let replaced: Vec<Range<u32>> = parts.map(|chunk| layout.tasks_of(chunk)).collect();
     let effective = runs.into_iter().map(|(chunk, (revision, run))| {
-        let whole = run.part.is_some() || replaced.is_empty();
+        let whole = ChunkLayout::is_part(chunk) || replaced.is_empty();
         let counts = if whole {
             Cow::Borrowed(run)
         } else {
--- a/src/core/holder/commits.rs
+++ b/src/core/holder/commits.rs
@@ -245,7 +245,7 @@
             placed: placed.collect(),
             failed_tries,
             failed_on,
-            part: live.layout.part_size(),
+            part: live.layout.part_size(chunk),
         }
     }
 
@@ -371,6 +371,11 @@
         if writes.len() >= ops || bytes > FLUSH_BYTES {
             break;
         }
+        // Cutting a job's chunk into parts takes its other chunks out of the queue as well. Written
+        // whole after that, one said that it was a part, and its tasks were spoken of twice.
+        if !h.to_flush.contains(&entry) {
+            continue;
+        }
         let (_, job, chunk) = &entry;
         let Some(live) = h.jobs.get(job) else {
             h.to_flush.remove(&entry);
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -1,6 +1,7 @@
 //! The state service, as PROTOCOL describes it.
 
 use salttrestle::core::CallId;
+use salttrestle::core::chunks::ChunkLayout;
 use salttrestle::core::records::{Key, PREFIX, Record};
 use salttrestle::settings::NextStateLimits;
 use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
@@ -217,6 +218,7 @@
             ));
         }
         self.defects.extend(unconditional(when, writes));
+        self.defects.extend(misnamed_parts(writes));
         for w in writes {
             if let Write::Put { key, record, .. } = w {
                 let size = serde_json::to_string(&record_value(record)).map_or(0, |s| s.len());
@@ -259,6 +261,21 @@
     }
 }
 
+/// Records that say of themselves that they are parts under the number of a chunk, or the reverse.
+fn misnamed_parts(writes: &[Write]) -> Vec<String> {
+    let misnamed = writes.iter().filter_map(|w| match w {
+        Write::Put {
+            key: Key::Run(id, chunk),
+            record: Record::Run(run),
+            ..
+        } if run.part.is_some() != ChunkLayout::is_part(*chunk) => {
+            Some(format!("chunk {chunk} of {id} has part {:?}", run.part))
+        }
+        _ => None,
+    });
+    misnamed.collect()
+}
+
 /// What a transaction changes without a condition on what that rests on. Some of these
 /// conditions overlap, so that no meeting shows that one of them is missing.
 fn unconditional(when: &[(Key, u64)], writes: &[Write]) -> Vec<String> {
