Read through: one way to read an end, queue a chunk, find a placement, and say the limits

Three handlers took an end out of a read each by itself: learn_ending. Twelve places spelled out where the planned limits stand: Settings::state_limits. write_again and cut_into_parts queue a chunk with the same function; accepted() is called where it stood written out; whether there is a sole holder is said once; ready_to_end changes nothing any more. A new job's ranks are worked out in one walk. In the stand-ins: JobView:: finished, set_unfit, and at_most, which says for every such expectation how many it was; the bounds are the same.

--- a/src/core/autoscaler/plan.rs
+++ b/src/core/autoscaler/plan.rs
@@ -76,7 +76,7 @@
             closed: closed.clone(),
             ..PlanRec::default()
         };
-        let value_bytes = self.settings.platform.facts.state.strictest().value_bytes;
+        let value_bytes = self.settings.state_limits().value_bytes;
         let most = (value_bytes as f64 * PLAN_SHARE) as usize;
         let left = most.saturating_sub(json_bytes(&plan));
         (plan.rentals, plan.returns) = s.fit(left);
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -262,7 +262,7 @@
     ) {
         let mut when = vec![(Key::Leader, self.cache.leader.version())];
         let (mut writes, mut bytes) = (Vec::new(), 0);
-        let most = self.settings.platform.facts.state.strictest().txn_ops - 1;
+        let most = self.settings.state_limits().txn_ops - 1;
         for (block, rec) in after {
             let old = before.get(&block);
             let full = writes.len() >= most || bytes >= COMMIT_BYTES;
@@ -391,7 +391,7 @@
 
     /// Most bytes of a block's record.
     fn record_most(&self) -> usize {
-        let bytes = self.settings.platform.facts.state.strictest().value_bytes;
+        let bytes = self.settings.state_limits().value_bytes;
         (bytes as f64 * RECORD_SHARE) as usize
     }
 
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -15,17 +15,18 @@
         let f = &self.settings.platform.facts;
         let (t, others) = (&self.settings.tuning, f.count.saturating_sub(1));
         let single = self.cache.blocks.len() <= 1;
-        let part = match (others, self.parked.is_empty()) {
-            (0, _) => 1.0,
-            (n, _) if !single => 1.0 / f64::from(n + 1),
-            (_, false) => t.budget_holder,
-            (n, true) => (1.0 - t.budget_holder) / f64::from(n),
+        let sole_holder = others > 0 && single && !self.parked.is_empty();
+        let part = match others {
+            0 => 1.0,
+            n if !single => 1.0 / f64::from(n + 1),
+            _ if sole_holder => t.budget_holder,
+            n => (1.0 - t.budget_holder) / f64::from(n),
         };
-        let limits = f.state.strictest();
+        let limits = self.settings.state_limits();
         let rps = limits.rps * part * t.budget_share;
         let all = limits.write_rps * t.budget_share;
         let mut wps = all * part;
-        if others > 0 && single && !self.parked.is_empty() {
+        if sole_holder {
             // Placements, results and ends are written here alone, and the others seldom use all
             // of their share: with many short tasks that kept ends waiting for seconds.
             let theirs = all - wps;
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -122,8 +122,8 @@
         if self.needs(&rec) == Needs::Cancelled {
             self.cancel(id);
         }
-        self.update_ranks(vec![id.clone()]);
-        self.update_ranks(rec.needs.clone());
+        let needs = rec.needs.iter().cloned();
+        self.update_ranks(needs.chain([id.clone()]).collect());
     }
 
     /// Takes note of a job that is over, of which an end may be known.
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -131,7 +131,7 @@
         ];
         let mut writes = Vec::new();
         // Two changes are kept for the leader's and the number's records.
-        let most = self.settings.platform.facts.state.strictest().txn_ops - 2;
+        let most = self.settings.state_limits().txn_ops - 2;
         for block in self.blocks_to_take().into_iter().take(most) {
             highest.0 += 1;
             let (version, rec) = self.lease_to_me(block, highest);
--- a/src/core/front/questions.rs
+++ b/src/core/front/questions.rs
@@ -5,7 +5,7 @@
 
 use super::{Intent, Question};
 use crate::core::budget::Priority;
-use crate::core::records::{Ending, Key, Record};
+use crate::core::records::{Ending, Key};
 use crate::core::{Core, Purpose, Reply, ReqId};
 use crate::ids::{JobId, Time};
 use crate::wire::{Stance, StateOp, StateReply, error_body, stance_body};
@@ -144,13 +144,10 @@
     }
 
     pub(crate) fn on_end_read(&mut self, q: Question, reply: StateReply) {
+        if let Some(ending) = self.learn_ending(&q.id, &reply) {
+            return self.answer_ending(q.req, &q.id, (ending, self.now));
+        }
         match (reply, &q.intent) {
-            (StateReply::Found { record, .. }, _) => {
-                if let Record::End(ending) = record {
-                    self.cache.remember(self.now, q.id.clone(), ending);
-                    self.answer_ending(q.req, &q.id, (ending, self.now));
-                }
-            }
             // It came while the read was under way.
             (StateReply::Missing { .. }, _) if self.cache.jobs.contains_key(&q.id) => {
                 let after = self.last_call();
--- a/src/core/front/submissions.rs
+++ b/src/core/front/submissions.rs
@@ -29,7 +29,7 @@
     }
 
     pub(super) fn on_submit(&mut self, req: ReqId, id: JobId, mut rec: JobRec) {
-        if self.cache.ending(&id).is_some() || self.cache.jobs.contains_key(&id) {
+        if self.cache.accepted(&id) {
             return self.on_question(req, id, Intent::Again);
         }
         if self.blind() {
@@ -44,13 +44,13 @@
         if let Some(why) = self.never_runs(&rec) {
             return self.on_question(req, id, Intent::Refuse(422, why));
         }
-        rec.chunk = self.chunk_size();
+        let limits = self.settings.state_limits();
+        rec.chunk = chunk_size(limits.value_bytes);
         rec.block = self.block_for(&id);
         if let Some(why) = self.too_large(&rec) {
             return self.on_question(req, id, Intent::Refuse(422, why));
         }
-        let wps = self.settings.platform.facts.state.strictest().write_rps;
-        let room = (wps * SUBMIT_BACKLOG_S) as usize;
+        let room = (limits.write_rps * SUBMIT_BACKLOG_S) as usize;
         if self.front.submissions.len() + self.front.naming.len()
             >= room.min(self.waiting_most()).max(8)
         {
@@ -70,15 +70,9 @@
         }
     }
 
-    /// Tasks per run record of a job that is accepted now.
-    fn chunk_size(&self) -> u32 {
-        let limits = self.settings.platform.facts.state.strictest();
-        chunk_size(limits.value_bytes)
-    }
-
     /// Why a job's record can't be kept, if so.
     pub(super) fn too_large(&self, rec: &JobRec) -> Option<String> {
-        let most = self.settings.platform.facts.state.strictest().value_bytes;
+        let most = self.settings.state_limits().value_bytes;
         let bytes = json_bytes(rec);
         let why = || format!("the job's description takes {bytes} bytes, of at most {most}");
         (bytes > most).then(why)
@@ -169,14 +163,9 @@
     ) {
         let Submission { req, id, .. } = &naming.submission;
         let (req, id) = (*req, id.clone());
+        let ended = self.learn_ending(&need, &reply).is_some();
         match reply {
-            StateReply::Found {
-                record: Record::End(ending),
-                ..
-            } => {
-                self.cache.remember(self.now, need, ending);
-                self.front.naming.push_back(naming);
-            }
+            _ if ended => self.front.naming.push_back(naming),
             StateReply::Missing { .. } if self.cache.accepted(&need) => {
                 self.front.naming.push_back(naming);
             }
@@ -192,7 +181,7 @@
     pub(super) fn pump_submissions(&mut self) {
         // What a commit of two jobs says of one applies to both, so a conflict
         // makes its jobs ask one by one. Conflicts are rare: only retries make them.
-        let most = self.settings.platform.facts.state.strictest().txn_ops;
+        let most = self.settings.state_limits().txn_ops;
         let most = most.min(SUBMISSIONS_MOST);
         while !self.front.submissions.is_empty() {
             // A key can be written once in a transaction, and the second of two equal
--- a/src/core/holder/commits.rs
+++ b/src/core/holder/commits.rs
@@ -56,6 +56,9 @@
     }
 }
 
+/// Chunks to write, the most urgent first.
+pub type FlushQueue = BTreeSet<(WriteUrgency, JobId, u32)>;
+
 /// Commits of chunks under way at once, and how many more there may be for urgent ones.
 const FLUSHES: usize = 4;
 const URGENT_FLUSHES: usize = 2;
@@ -257,11 +260,7 @@
             return;
         };
         live.chunks.entry(chunk).or_default().busy = false;
-        // A chunk that was cut into parts meanwhile is written as these.
-        for chunk in live.layout.chunks_for(chunk) {
-            let urgency = live.write_urgency(chunk);
-            self.to_flush.insert((urgency, job.clone(), chunk));
-        }
+        queue_chunk(&mut self.to_flush, job, live, chunk);
     }
 
     /// Queues the record of a placement that was just made.
@@ -290,9 +289,8 @@
             let unwritten = live.chunks.get(&chunk).is_some_and(|c| c.unwritten);
             for part in live.layout.chunks_for(chunk) {
                 live.chunks.entry(part).or_default().unwritten |= unwritten;
-                let urgency = live.write_urgency(part);
-                self.to_flush.insert((urgency, job.clone(), part));
             }
+            queue_chunk(&mut self.to_flush, job, live, chunk);
         }
     }
 
@@ -328,6 +326,13 @@
     }
 }
 
+/// Queues what is to be written of a chunk: itself or, if its job was cut into parts, these.
+fn queue_chunk(queue: &mut FlushQueue, job: &JobId, live: &JobState, chunk: u32) {
+    for chunk in live.layout.chunks_for(chunk) {
+        queue.insert((live.write_urgency(chunk), job.clone(), chunk));
+    }
+}
+
 /// What a transaction of chunks may hold.
 struct FlushLimits {
     ops: usize,
@@ -339,12 +344,11 @@
 
 impl Core {
     fn flush_limits(&self) -> FlushLimits {
-        let state = &self.settings.platform.facts.state;
-        let strict = state.strictest();
+        let strict = self.settings.state_limits();
         let value_bytes = if self.values_shrunk {
             strict.value_bytes
         } else {
-            state.value_bytes_now()
+            self.settings.platform.facts.state.value_bytes_now()
         };
         FlushLimits {
             ops: strict.txn_ops,
--- a/src/core/holder/endings.rs
+++ b/src/core/holder/endings.rs
@@ -17,14 +17,13 @@
     }
 
     /// Jobs whose end can be committed now.
-    fn ready_to_end(&mut self) -> Vec<JobId> {
-        let Some(h) = &mut self.holder else {
+    fn ready_to_end(&self) -> Vec<JobId> {
+        let Some(h) = &self.holder else {
             return Vec::new();
         };
-        h.to_finish.retain(|id| h.jobs.contains_key(id));
         let (mut cancelled, mut done) = (Vec::new(), Vec::new());
-        for id in &h.to_finish {
-            let live = &h.jobs[id];
+        let jobs = h.to_finish.iter();
+        for (id, live) in jobs.filter_map(|id| Some((id, h.jobs.get(id)?))) {
             if live.finishing || live.chunks.values().any(|c| c.busy) {
                 continue;
             }
@@ -45,7 +44,7 @@
     /// Commits a job's end, and with it the deletion of its record; chunks that don't fit into the
     /// transaction go later. False if there is no budget for it.
     fn commit_end(&mut self, id: &JobId) -> bool {
-        let ops = self.settings.platform.facts.state.strictest().txn_ops;
+        let ops = self.settings.state_limits().txn_ops;
         let Some(h) = &mut self.holder else {
             return false;
         };
@@ -82,7 +81,7 @@
 
     /// Deletes chunks of jobs that are over.
     fn pump_cleanup(&mut self) {
-        let ops = self.settings.platform.facts.state.strictest().txn_ops;
+        let ops = self.settings.state_limits().txn_ops;
         let Some(h) = &mut self.holder else {
             return;
         };
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -16,7 +16,7 @@
 use super::fleet::{Fleet, Machine};
 use super::*;
 use burst_estimate::BurstEstimate;
-pub use commits::{FlushItem, WriteUrgency};
+pub use commits::{FlushItem, FlushQueue, WriteUrgency};
 pub(crate) use image_demand::ImageDemand;
 pub use job_state::{Chunk, JobState, Phase, Placement};
 use std::collections::BTreeSet;
@@ -61,7 +61,7 @@
     pub(crate) place_at: Time,
     pub(crate) pack_at: Time,
     /// Chunks to write, by urgency.
-    pub(crate) to_flush: BTreeSet<(WriteUrgency, JobId, u32)>,
+    pub(crate) to_flush: FlushQueue,
     pub(crate) flushing: usize,
     /// Jobs whose last record is to be written: all done, or withdrawn and gone.
     pub(crate) to_finish: BTreeSet<JobId>,
@@ -185,6 +185,12 @@
         live.placed.insert(index, placement);
     }
 
+    /// A task's placement, to be changed.
+    pub(crate) fn placement_mut(&mut self, task: &TaskId) -> Option<&mut Placement> {
+        let live = self.jobs.get_mut(&task.job)?;
+        live.placed.get_mut(&task.index)
+    }
+
     /// Gives a job another rank, also where its tasks are.
     pub(super) fn change_rank(&mut self, job: &JobId, rank: Rank) {
         let Some(live) = self.jobs.get_mut(job).filter(|l| l.rec.rank != rank) else {
--- a/src/core/needs.rs
+++ b/src/core/needs.rs
@@ -41,17 +41,24 @@
 
     pub(super) fn on_need_read(&mut self, need: JobId, reply: StateReply) {
         self.need_reads.reading.remove(&need);
-        match reply {
-            StateReply::Found {
-                record: Record::End(ending),
-                ..
-            } => {
-                self.cache.remember(self.now, need, ending);
-            }
-            _ => self.need_reads.not_before = self.now.after(READ_AGAIN_S),
+        if self.learn_ending(&need, &reply).is_none() {
+            self.need_reads.not_before = self.now.after(READ_AGAIN_S);
         }
     }
 
+    /// Remembers how a job ended, if the answer to a read of its end says so.
+    pub(super) fn learn_ending(&mut self, id: &JobId, reply: &StateReply) -> Option<Ending> {
+        let StateReply::Found {
+            record: Record::End(ending),
+            ..
+        } = reply
+        else {
+            return None;
+        };
+        self.cache.remember(self.now, id.clone(), *ending);
+        Some(*ending)
+    }
+
     /// Tells the holders of jobs what changed for these through others.
     pub(super) fn on_affected(&mut self) {
         for id in self.cache.take_affected() {
--- a/src/core/workers/mod.rs
+++ b/src/core/workers/mod.rs
@@ -53,11 +53,7 @@
         let Some(h) = &mut self.holder else {
             return;
         };
-        let Some(p) = h
-            .jobs
-            .get_mut(&task.job)
-            .and_then(|l| l.placed.get_mut(&task.index))
-        else {
+        let Some(p) = h.placement_mut(task) else {
             return;
         };
         p.halted.get_or_insert(now);
--- a/src/core/workers/reports.rs
+++ b/src/core/workers/reports.rs
@@ -129,11 +129,7 @@
         };
         let tasks: Vec<TaskId> = m.tasks.keys().cloned().collect();
         for task in tasks {
-            let Some(p) = h
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|l| l.placed.get_mut(&task.index))
-            else {
+            let Some(p) = h.placement_mut(&task) else {
                 continue;
             };
             if listed.contains(&(task.clone(), p.attempt)) {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -75,8 +75,6 @@
 }
 
 impl Net {
-    // ---- calls
-
     pub(super) fn start_call(&mut self, id: CallId, op: Op) {
         if let Op::State(StateOp::Commit { writes, .. }) = &op {
             debug!("commits {writes:?}");
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -66,8 +66,6 @@
 }
 
 impl Net {
-    // ---- connections
-
     pub(super) fn accept(&mut self, peer: bool) {
         loop {
             let listener = if peer {
@@ -312,8 +310,6 @@
         !(closing && conn.out.is_empty())
     }
 
-    // ---- time
-
     /// Ends calls and connections whose time is over.
     pub(super) fn sweep(&mut self, now: Time) {
         while let Some((at, id)) = self.deadlines.first().copied() {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -52,8 +52,6 @@
         }
     }
 
-    // ---- siblings
-
     /// Sends to one sibling, or to all.
     pub(super) fn say(&mut self, to: Option<&Member>, bytes: &[u8]) {
         let now = self.now();
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -53,8 +53,6 @@
         }
     }
 
-    // ---- requests
-
     pub(super) fn request(&mut self, key: usize, message: &Message) {
         let path = message.start[1].split('?').next().unwrap_or("");
         let mut ask = route(&message.start[0], path, &message.body);
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -1,6 +1,6 @@
 //! Figures that follow from the settings: times, shares and counts.
 
-use super::Settings;
+use super::{Settings, StrictestLimits};
 
 /// Processor time that a holder spends on one report, with all that follows from it, in
 /// seconds: as measured, rounded up.
@@ -29,6 +29,11 @@
 const OTHER_SOCKETS: usize = 100;
 
 impl Settings {
+    /// The limits of the state service by which everything is planned.
+    pub fn state_limits(&self) -> StrictestLimits {
+        self.platform.facts.state.strictest()
+    }
+
     /// Machines that one holder can serve with all of its processor.
     fn machines_a_holder(&self) -> f64 {
         let f = &self.platform.facts;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -243,6 +243,11 @@
             .get(&id)
             .ok_or(format!("{id} was never submitted"))
     };
+    // Holds if it was no more than that, and else says how many it was.
+    let at_most = |was: usize| match was <= l[1].parse().expect("a count") {
+        true => Ok(true),
+        false => Err(format!("expected: {}, was {was}", l.join(" "))),
+    };
     let held = match l[0].as_str() {
         "done" => {
             let by = l.get(3).map_or(u64::MAX, |t| seconds(t));
@@ -283,22 +288,10 @@
             let blocks = keys.filter(|k| k.contains("own/block/")).count();
             blocks == l[1].parse::<usize>().expect("a count")
         }
-        "killed-at-most" => world.killed <= l[1].parse().expect("a count"),
-        "deleted-tasks-at-most" => world.deleted_tasks <= l[1].parse().expect("a count"),
-        "failures-at-most" => {
-            let failures = world.met.failures;
-            if failures > l[1].parse().expect("a count") {
-                return Err(format!("expected: {}, was {failures}", l.join(" ")));
-            }
-            true
-        }
-        "sick-machines-at-most" => {
-            let sick = world.workers.values().filter(|w| w.sick).count();
-            if sick > l[1].parse().expect("a count") {
-                return Err(format!("expected: {}, was {sick}", l.join(" ")));
-            }
-            true
-        }
+        "killed-at-most" => at_most(world.killed)?,
+        "deleted-tasks-at-most" => at_most(world.deleted_tasks)?,
+        "failures-at-most" => at_most(world.met.failures)?,
+        "sick-machines-at-most" => at_most(world.workers.values().filter(|w| w.sick).count())?,
         // So many of the machines that the scenario began with are still there.
         "first-machines" => {
             let first = world.cloud.rigs.values().filter(|r| r.rented == 0);
@@ -308,25 +301,13 @@
             }
             true
         }
-        "rejected-at-most" => world.state.rejected <= l[1].parse().expect("a count"),
-        "limited-at-most" => {
-            let limited = world.state.limited;
-            if limited > l[1].parse().expect("a count") {
-                return Err(format!("expected: {}, was {limited}", l.join(" ")));
-            }
-            true
-        }
+        "rejected-at-most" => at_most(world.state.rejected)?,
+        "limited-at-most" => at_most(world.state.limited)?,
         "starts-at-most" => world.checker.starts <= l[1].parse().expect("a count"),
-        "numbers-at-most" => world.numbers.len() <= l[1].parse().expect("a count"),
+        "numbers-at-most" => at_most(world.numbers.len())?,
         "no-takeover" => world.numbers.len() == 1,
-        "machines-at-most" => world.workers.len() <= l[1].parse().expect("a count"),
-        "rented-at-most" => {
-            let rented = world.cloud.rigs.len();
-            if rented > l[1].parse().expect("a count") {
-                return Err(format!("expected: {}, was {rented}", l.join(" ")));
-            }
-            true
-        }
+        "machines-at-most" => at_most(world.workers.len())?,
+        "rented-at-most" => at_most(world.cloud.rigs.len())?,
         // `expect confirmed 3 from=20 to=40`: it took place that often at least.
         other => {
             let met = world.count_met(other, &l[2..]);
--- a/tests/sim/checker.rs
+++ b/tests/sim/checker.rs
@@ -37,6 +37,13 @@
     pub done_told_at: Option<u64>,
 }
 
+impl JobView {
+    /// Whether all of its tasks have finished.
+    pub fn finished(&self) -> bool {
+        self.finished.len() as u32 == self.rec.count
+    }
+}
+
 /// What a user is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Said {
@@ -83,6 +90,13 @@
         });
     }
 
+    /// A submitted job can't run, and mustn't be accepted.
+    pub fn set_unfit(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.unfit = true;
+        }
+    }
+
     pub fn cancel_asked(&mut self, now: u64, id: &JobId) {
         if let Some(j) = self.jobs.get_mut(id) {
             j.cancel_asked.get_or_insert(now);
@@ -102,7 +116,7 @@
         if !matches!(said, Said::Unknown | Said::Refused) {
             job.accepted_at.get_or_insert(now);
         }
-        let all = job.finished.len() as u32 == job.rec.count;
+        let all = job.finished();
         let unfit = job.unfit;
         match said {
             Said::Unknown | Said::Refused => {}
@@ -195,10 +209,7 @@
 
     /// A job that this one needs and that isn't done, if there is one.
     pub fn open_need(&self, rec: &JobRec) -> Option<JobId> {
-        let done = |id: &&JobId| {
-            let job = self.jobs.get(id);
-            job.is_some_and(|j| j.finished.len() as u32 == j.rec.count)
-        };
+        let done = |id: &&JobId| self.jobs.get(id).is_some_and(JobView::finished);
         rec.needs.iter().find(|id| !done(id)).cloned()
     }
 
@@ -264,7 +275,7 @@
     pub fn finishes(&mut self, now: u64, task: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.finished.insert(task.index);
-            if job.finished.len() as u32 == job.rec.count {
+            if job.finished() {
                 job.finished_at.get_or_insert(now);
             }
         }
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -287,9 +287,7 @@
             ..spec.clone()
         };
         self.add_spec(&id, spec);
-        if let Some(job) = self.checker.jobs.get_mut(&id) {
-            job.unfit = true;
-        }
+        self.checker.set_unfit(&id);
         self.user(&id, Intent::Submit);
     }
 
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -261,7 +261,7 @@
             refused_until: 0,
             frozen_until: 0,
             woken_for: 0,
-            announced: one("next").is_some() && !one("next").is_some_and(|l| flag(l, "later")),
+            announced: one("next").is_some_and(|l| !flag(l, "later")),
         });
         let mut world = Self {
             now: 0,
@@ -1030,10 +1030,8 @@
             hasty: flag(args, "hasty"),
         };
         self.add_spec(&id, spec);
-        if flag(args, "unfit")
-            && let Some(job) = self.checker.jobs.get_mut(&id)
-        {
-            job.unfit = true;
+        if flag(args, "unfit") {
+            self.checker.set_unfit(&id);
         }
         self.user(&id, Intent::Submit);
     }
