Stand-ins of store, cloud, worker and the checker are a package that the scenarios share

Need: the scale run has to follow the same reading of the protocol as the scenarios (tokens, leases, sessions, conditions, grants, limits), and tests/sim had it inside its world.

Change: package standins with store, worker, cloud, user, rate and checker, without clock or network. tests/sim keeps the simulated time, links and troubles. The checker keeps what each team uses up to date instead of recounting all tasks at each start, and looks at cancelled jobs that still run only; a listing of the cloud has pages of 500.

--- a/tests/sim/checker.rs
+++ b/standins/src/checker.rs
@@ -1,26 +1,38 @@
 //! The rules, seen from outside: by what users are told and what machines run.
 
-use salttrestle::core::records::{Form, JobRec};
+use salttrestle::core::records::{Form, JobRec, Room};
 use salttrestle::ids::{JobId, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Where a task runs.
 #[derive(Clone, Debug)]
 pub struct Place {
+    /// The machine's name.
     pub machine: String,
+    /// The machine's type.
     pub class: String,
+    /// The machine's zone.
     pub zone: String,
+    /// Whether it is a spot machine.
     pub spot: bool,
 }
 
+/// What a job's user has been told.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
+    /// That it is accepted.
     pub accepted: bool,
+    /// That it is done.
     pub done: bool,
+    /// When it was told to be cancelled.
     pub withdrawn_at: Option<u64>,
 }
 
+/// A job as it looks from outside.
 pub struct JobView {
+    /// What was submitted.
     pub rec: JobRec,
+    /// What its user has been told.
     pub told: Told,
     /// When its user first asked to cancel it.
     pub cancel_asked: Option<u64>,
@@ -28,12 +40,17 @@
     pub unfit: bool,
     /// Its tasks that ever started.
     pub started: BTreeSet<u32>,
+    /// Its tasks that have finished.
     pub finished: BTreeSet<u32>,
     /// When the last of its tasks was.
     pub finished_at: Option<u64>,
+    /// When it was first submitted.
     pub submitted_at: u64,
+    /// When its user was told that it is accepted.
     pub accepted_at: Option<u64>,
+    /// When the first of its tasks started.
     pub first_start: Option<u64>,
+    /// When its user was told that it is done.
     pub done_told_at: Option<u64>,
 }
 
@@ -47,33 +64,60 @@
 /// What a user is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Said {
+    /// It waits.
     Queued,
+    /// A task of it runs.
     Running,
+    /// All its tasks are done.
     Done,
+    /// It is cancelled.
     Withdrawn,
+    /// 404.
     Unknown,
+    /// 400 or 422.
     Refused,
 }
 
+/// Judges each rule by what users are told and what machines run. Times are in milliseconds.
 #[derive(Default)]
 pub struct Checker {
+    /// How long after its cancellation was told a job's tasks may still be there.
     pub cancel_ms: u64,
     /// Team: most CPUs and GPUs, 0 for no limit.
     pub limits: BTreeMap<String, (f64, f64)>,
+    /// Every job that was submitted.
     pub jobs: BTreeMap<JobId, JobView>,
+    /// Where tasks are.
     pub on: BTreeMap<TaskId, Vec<Place>>,
+    /// What each team's tasks use.
+    used: BTreeMap<String, Room>,
+    /// Jobs told to be cancelled of which tasks are on machines.
+    cancelled: BTreeSet<JobId>,
+    /// What was broken, with when and which rule.
     pub broken: Vec<String>,
+    /// Tasks started in all.
     pub starts: u64,
     /// Jobs left waiting though there is room, and since when.
     pub waiting: BTreeMap<JobId, u64>,
 }
 
 impl Checker {
+    /// A checker of a service whose cancelled tasks must be gone in so many milliseconds, with
+    /// what each team may use at most.
+    pub fn new(cancel_ms: u64, limits: BTreeMap<String, (f64, f64)>) -> Self {
+        Self {
+            cancel_ms,
+            limits,
+            ..Self::default()
+        }
+    }
+
     fn fault(&mut self, now: u64, rule: &str, what: String) {
         self.broken
             .push(format!("{:.3} {rule}: {what}", now as f64 / 1e3));
     }
 
+    /// A job was submitted for the first time.
     pub fn submitted(&mut self, now: u64, id: &JobId, rec: JobRec) {
         self.jobs.entry(id.clone()).or_insert(JobView {
             rec,
@@ -97,6 +141,7 @@
         }
     }
 
+    /// A user asked to cancel a job.
     pub fn cancel_asked(&mut self, now: u64, id: &JobId) {
         if let Some(j) = self.jobs.get_mut(id) {
             j.cancel_asked.get_or_insert(now);
@@ -131,6 +176,9 @@
             }
             Said::Queued | Said::Running => job.told.accepted = true,
         }
+        if said == Said::Withdrawn && self.runs(id) {
+            self.cancelled.insert(id.clone());
+        }
         let asked = self.cancel_asked_above(id).is_some();
         let told = self.cancel_told_above(id);
         match said {
@@ -252,26 +300,41 @@
         self.on.entry(task.clone()).or_default().push(place);
         let job = self.jobs.get_mut(&task.job);
         let confirmed = job.is_some_and(|job| {
+            let used = self.used.entry(job.rec.team.clone()).or_default();
+            used.add(job.rec.need, 1.0);
             job.first_start.get_or_insert(now);
             job.started.insert(task.index);
             job.told.withdrawn_at.is_some()
         });
         if confirmed {
+            self.cancelled.insert(task.job.clone());
             self.fault(now, "started_cancelled", format!("{task} starts"));
         }
-        self.check_quota(now);
+        self.check_quota(now, task);
         self.check_cancelled(now);
     }
 
+    /// A task is no longer on a machine.
     pub fn stops(&mut self, task: &TaskId, machine: &str) {
-        if let Some(list) = self.on.get_mut(task) {
-            list.retain(|p| p.machine != machine);
-            if list.is_empty() {
-                self.on.remove(task);
-            }
+        let Some(list) = self.on.get_mut(task) else {
+            return;
+        };
+        let before = list.len();
+        list.retain(|p| p.machine != machine);
+        let (gone, empty) = (before - list.len(), list.is_empty());
+        if empty {
+            self.on.remove(task);
+        }
+        if let Some(job) = self.jobs.get(&task.job) {
+            let used = self.used.entry(job.rec.team.clone()).or_default();
+            used.add(job.rec.need, -(gone as f64));
+        }
+        if empty && !self.runs(&task.job) {
+            self.cancelled.remove(&task.job);
         }
     }
 
+    /// A task has completed.
     pub fn finishes(&mut self, now: u64, task: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.finished.insert(task.index);
@@ -319,39 +382,28 @@
         }
     }
 
-    fn check_quota(&mut self, now: u64) {
-        let mut used: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
-        for (task, places) in &self.on {
-            if let Some(job) = self.jobs.get(&task.job) {
-                let u = used.entry(&job.rec.team).or_default();
-                u.0 += job.rec.need.cpus * places.len() as f64;
-                u.1 += job.rec.need.gpus * places.len() as f64;
-            }
-        }
-        let over: Vec<String> = used
-            .iter()
-            .filter(|(team, u)| {
-                let most = self.limits.get(**team).copied().unwrap_or_default();
-                (most.0 > 0.0 && u.0 > most.0 + 1e-6) || (most.1 > 0.0 && u.1 > most.1 + 1e-6)
-            })
-            .map(|(team, u)| format!("{team} uses {u:?}"))
-            .collect();
-        for what in over {
+    /// Whether the team of a task that has just started uses more than its limit.
+    fn check_quota(&mut self, now: u64, task: &TaskId) {
+        let Some(team) = self.jobs.get(&task.job).map(|j| &j.rec.team) else {
+            return;
+        };
+        let used = self.used.get(team).copied().unwrap_or_default();
+        let most = self.limits.get(team).copied().unwrap_or_default();
+        let over = |used: f64, most: f64| most > 0.0 && used > most + SLACK;
+        if over(used.cpus, most.0) || over(used.gpus, most.1) {
+            let what = format!("{team} uses {} CPUs, {} GPUs", used.cpus, used.gpus);
             self.fault(now, "quota", what);
         }
     }
 
     /// Tasks of cancelled jobs that are still somewhere after the bound.
     pub fn check_cancelled(&mut self, now: u64) {
-        let mut late = Vec::new();
-        for task in self.on.keys() {
-            let told = self.jobs.get(&task.job).and_then(|j| j.told.withdrawn_at);
-            if told.is_some_and(|at| now > at + self.cancel_ms) {
-                late.push(task.to_string());
-            }
-        }
-        if let Some(task) = late.first() {
-            let what = format!("{task} is still there");
+        let late = self.cancelled.iter().find(|id| {
+            let told = self.jobs.get(*id).and_then(|j| j.told.withdrawn_at);
+            told.is_some_and(|at| now > at + self.cancel_ms)
+        });
+        if let Some(id) = late {
+            let what = format!("tasks of {id} are still there");
             self.fault(now, "ran_cancelled", what);
         }
     }
@@ -439,18 +491,15 @@
 
     /// Whether one more task of a job stays within its team's limit.
     pub fn below_limit(&self, rec: &JobRec) -> bool {
-        let (mut cpus, mut gpus) = (rec.need.cpus, rec.need.gpus);
-        for (task, places) in &self.on {
-            if let Some(j) = self.jobs.get(&task.job).filter(|j| j.rec.team == rec.team) {
-                cpus += j.rec.need.cpus * places.len() as f64;
-                gpus += j.rec.need.gpus * places.len() as f64;
-            }
-        }
+        let used = self.used.get(&rec.team).copied().unwrap_or_default();
         let most = self.limits.get(&rec.team).copied().unwrap_or_default();
-        (most.0 <= 0.0 || cpus <= most.0 + 1e-6) && (most.1 <= 0.0 || gpus <= most.1 + 1e-6)
+        let fits = |used: f64, need: f64, most: f64| most <= 0.0 || used + need <= most + SLACK;
+        fits(used.cpus, rec.need.cpus, most.0) && fits(used.gpus, rec.need.gpus, most.1)
     }
 }
 
+/// Room for rounding when amounts are added and taken away many times.
+const SLACK: f64 = 1e-6;
 /// After the troubles, a job about which no question is answered for so long is forgotten.
 const UNANSWERED_MS: u64 = 75_000;
 /// After the troubles, no job waits for longer while a machine that fits has room.
--- a/tests/sim/cloud.rs
+++ b/standins/src/cloud.rs
@@ -5,27 +5,42 @@
 use salttrestle::wire::{ClassInfo, CloudOp, CloudReply};
 use std::collections::BTreeMap;
 
+/// Most machines in one page of the list.
+const PAGE: usize = 500;
+
+/// A rented machine. Times are in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Rig {
+    /// Its type.
     pub class: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether it is a spot machine.
     pub spot: bool,
+    /// When it was rented.
     pub rented: u64,
     /// When it comes up; `None` if it never does.
     pub boots: Option<u64>,
     /// From when on it is listed as failed: for a while a dead machine is listed as running.
     pub failed: Option<u64>,
+    /// When it was deleted or taken back.
     pub gone: Option<u64>,
 }
 
+/// The cloud.
 #[derive(Default)]
 pub struct Cloud {
+    /// The types of machines that it has.
     pub catalog: Vec<ClassInfo>,
+    /// Every machine that was ever rented, by name.
     pub rigs: BTreeMap<String, Rig>,
+    /// What rental requests were answered, by their names.
     pub answers: BTreeMap<String, Vec<MachineId>>,
     /// Free machines by type, zone and kind.
     pub capacity: BTreeMap<(String, String, bool), u32>,
+    /// It answers nobody.
     pub outage: bool,
+    /// By how much its list of machines lags.
     pub lag_ms: u64,
     /// The next so many machines never boot.
     pub stillborn: u32,
@@ -38,6 +53,7 @@
 }
 
 impl Cloud {
+    /// Adds a machine that comes up at `boots`.
     pub fn add(
         &mut self,
         now: u64,
@@ -120,11 +136,11 @@
 
     fn list(&self, now: u64, after: Option<&MachineId>) -> CloudReply {
         let at = now.saturating_sub(self.lag_ms);
-        let shown = self.rigs.iter().filter(|(id, r)| {
+        let mut shown = self.rigs.iter().filter(|(id, r)| {
             let behind = after.is_none_or(|a| id.as_str() > a.as_str());
             behind && r.rented <= at && r.gone.is_none_or(|g| g > at)
         });
-        let machines = shown.map(|(id, r)| {
+        let machines = shown.by_ref().take(PAGE).map(|(id, r)| {
             let stance = match (r.failed, r.boots) {
                 (Some(failed), _) if failed <= at => "failed",
                 (_, Some(b)) if b <= at => "running",
@@ -139,9 +155,10 @@
                 .deserialized()
                 .expect("a listed machine")
         });
+        let machines = machines.collect();
         CloudReply::Page {
-            machines: machines.collect(),
-            more: false,
+            machines,
+            more: shown.next().is_some(),
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use salttrestle::ids::{JobId, TaskId};
-use sim::checker::{Checker, Place, Said};
+use salttrestle_standins::checker::{Checker, Place, Said};
 use sim::world::World;
 use std::path::Path;
 
@@ -284,7 +284,7 @@
             world.numbers.len() > l[1].parse::<usize>().expect("a count")
         }
         "blocks" => {
-            let keys = world.state.keys.keys();
+            let keys = world.state.store.entries.keys();
             let blocks = keys.filter(|k| k.contains("own/block/")).count();
             blocks == l[1].parse::<usize>().expect("a count")
         }
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -5,7 +5,8 @@
 use salttrestle::core::records::{Key, PREFIX, Record};
 use salttrestle::settings::NextStateLimits;
 use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
-use std::collections::BTreeMap;
+use salttrestle_standins::rate::RateLimit;
+use salttrestle_standins::store::{self, CommitOutcome, Store};
 
 /// A follow that waits for news.
 pub struct Waiter {
@@ -16,23 +17,14 @@
     pub until: u64,
 }
 
-#[derive(Default)]
 pub struct StateService {
-    pub revision: u64,
-    pub keys: BTreeMap<String, (Record, u64, Option<u64>)>,
-    pub log: Vec<Change>,
-    /// Grants: end and length.
-    pub grants: BTreeMap<u64, (u64, u64)>,
-    pub next_grant: u64,
+    pub store: Store<Record>,
     pub waiters: Vec<Waiter>,
     pub outage: bool,
-    pub kept: usize,
-    pub value_kb: f64,
-    pub txn_ops: usize,
-    /// Changes a second, once limits have fallen, and how many more it takes just now.
-    pub write_rps: Option<f64>,
-    pub write_tokens: f64,
-    pub write_at: u64,
+    value_kb: f64,
+    txn_ops: usize,
+    /// Changes a second, once limits have fallen.
+    write_limit: Option<RateLimit>,
     /// Transactions beyond a limit that has fallen: of size, of changes a second.
     pub rejected: usize,
     pub limited: usize,
@@ -40,48 +32,30 @@
     pub defects: Vec<String>,
 }
 
+/// Changes that the state service keeps for followers.
+const KEPT: usize = 10_000;
+/// Entries in one page of a listing.
+const PAGE: usize = 50;
+
 impl StateService {
-    fn change(&mut self, path: &str, record: Option<(Record, Option<u64>)>, revision: u64) {
-        let Some(key) = Key::parse(path) else {
-            self.defects.push(format!("strange key {path}"));
-            return;
-        };
-        let rec = record.as_ref().map(|(r, _)| r.clone());
-        match record {
-            Some((r, hold)) => {
-                self.keys.insert(path.into(), (r, revision, hold));
-            }
-            None => {
-                self.keys.remove(path);
-            }
+    pub fn new(value_kb: f64, txn_ops: usize) -> Self {
+        Self {
+            store: Store::new(KEPT),
+            waiters: Vec::new(),
+            outage: false,
+            value_kb,
+            txn_ops,
+            write_limit: None,
+            rejected: 0,
+            limited: 0,
+            defects: Vec::new(),
         }
-        self.log.push((key, revision, rec));
     }
 
     /// Ends grants whose time is over.
     pub fn expire(&mut self, now: u64) {
-        if self.outage {
-            return;
-        }
-        let over: Vec<u64> = self
-            .grants
-            .iter()
-            .filter(|(_, (end, _))| now > *end)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            self.grants.remove(&id);
-            let keys: Vec<String> = self
-                .keys
-                .iter()
-                .filter(|(_, v)| v.2 == Some(id))
-                .map(|(k, _)| k.clone())
-                .collect();
-            for key in keys {
-                self.revision += 1;
-                let revision = self.revision;
-                self.change(&key, None, revision);
-            }
+        if !self.outage {
+            self.store.expire(now);
         }
     }
 
@@ -89,42 +63,21 @@
     pub fn lower_limits(&mut self, now: u64, limits: NextStateLimits) {
         self.value_kb = limits.value_kb.unwrap_or(self.value_kb);
         self.txn_ops = limits.txn_ops.unwrap_or(self.txn_ops);
-        self.write_rps = limits.write_rps;
-        self.write_tokens = limits.write_rps.unwrap_or(0.0);
-        self.write_at = now;
-    }
-
-    /// Whether so many changes are beyond the lowered rate, of which a second's worth may come
-    /// at once.
-    fn over_rate(&mut self, now: u64, changes: usize) -> bool {
-        let Some(rate) = self.write_rps else {
-            return false;
-        };
-        let gained = (now - self.write_at) as f64 / 1e3 * rate;
-        self.write_tokens = (self.write_tokens + gained).min(rate);
-        self.write_at = now;
-        if self.write_tokens < changes as f64 {
-            return true;
-        }
-        self.write_tokens -= changes as f64;
-        false
+        self.write_limit = limits.write_rps.map(|rate| RateLimit::new(now, rate));
     }
 
     pub fn end_outage(&mut self, now: u64) {
         self.outage = false;
-        for (end, ttl) in self.grants.values_mut() {
-            *end = now + *ttl;
-        }
+        self.store.renew_all(now);
     }
 
     /// The news after a revision, if there are any.
     pub fn news(&self, after: u64) -> Option<StateReply> {
-        let oldest = self.log.len().saturating_sub(self.kept);
-        if oldest > 0 && self.log[oldest - 1].1 > after {
+        let Some(changes) = self.store.changes_after(after) else {
             return Some(StateReply::TooOld);
-        }
-        let news: Vec<Change> = self.log.iter().filter(|c| c.1 > after).cloned().collect();
-        let revision = self.revision;
+        };
+        let news: Vec<Change> = changes.iter().filter_map(change).collect();
+        let revision = self.store.revision;
         (!news.is_empty()).then_some(StateReply::News { revision, news })
     }
 
@@ -138,74 +91,45 @@
         }
         self.expire(now);
         if let StateOp::Commit { writes, .. } = op
-            && self.over_rate(now, writes.len())
+            && let Some(limit) = &mut self.write_limit
+            && !limit.take(now, writes.len() as f64)
         {
             self.limited += 1;
             return Some(StateReply::Refused);
         }
+        let lives = |known: bool| match known {
+            true => StateReply::Extended,
+            false => StateReply::NoGrant,
+        };
+        let revision = self.store.revision;
         Some(match op {
-            StateOp::Fresh => StateReply::Missing {
-                revision: self.revision,
-            },
-            StateOp::Get(key) => match self.keys.get(&key.to_string()) {
-                Some((record, revision, _)) => StateReply::Found {
-                    record: record.clone(),
-                    revision: *revision,
-                },
-                None => StateReply::Missing {
-                    revision: self.revision,
+            StateOp::Fresh => StateReply::Missing { revision },
+            StateOp::Get(key) => match self.store.entries.get(&key.to_string()) {
+                Some(entry) => StateReply::Found {
+                    record: entry.value.clone(),
+                    revision: entry.revision,
                 },
+                None => StateReply::Missing { revision },
             },
             StateOp::List { after } => self.list(after),
             StateOp::Commit { when, writes } => self.commit(when, writes),
-            StateOp::Grant { ttl_ms } => {
-                self.next_grant += 1;
-                self.grants.insert(self.next_grant, (now + ttl_ms, *ttl_ms));
-                StateReply::Granted(self.next_grant)
-            }
-            StateOp::Extend(id) => match self.grants.get_mut(id) {
-                Some((end, ttl)) => {
-                    *end = now + *ttl;
-                    StateReply::Extended
-                }
-                None => StateReply::NoGrant,
-            },
-            StateOp::Release(id) => match self.grants.get_mut(id) {
-                Some((end, _)) => {
-                    *end = 0;
-                    self.expire(now);
-                    StateReply::Extended
-                }
-                None => StateReply::NoGrant,
-            },
+            StateOp::Grant { ttl_ms } => StateReply::Granted(self.store.grant(now, *ttl_ms)),
+            StateOp::Extend(id) => lives(self.store.extend(now, *id)),
+            StateOp::Release(id) => lives(self.store.release(*id)),
             StateOp::Follow { after } => return self.news(*after),
         })
     }
 
     fn list(&self, after: &str) -> StateReply {
-        const PAGE: usize = 50;
-        let behind = self
-            .keys
-            .iter()
-            .filter(|(k, _)| k.as_str() > after && k.starts_with(PREFIX));
-        let mut entries = Vec::new();
-        let mut last = None;
-        let mut more = false;
-        for (path, (record, revision, _)) in behind {
-            if entries.len() == PAGE {
-                more = true;
-                break;
-            }
-            last = Some(path.clone());
-            if let Some(key) = Key::parse(path) {
-                entries.push((key, *revision, Some(record.clone())));
-            }
-        }
+        let (page, more) = self.store.list(PREFIX, after, PAGE);
+        let entries = page.iter().filter_map(|(path, entry)| {
+            Some((Key::parse(path)?, entry.revision, Some(entry.value.clone())))
+        });
         StateReply::Page {
-            entries,
-            last,
+            entries: entries.collect(),
+            last: page.last().map(|(path, _)| (*path).clone()),
             more,
-            revision: self.revision,
+            revision: self.store.revision,
         }
     }
 
@@ -220,44 +144,53 @@
         self.defects.extend(unconditional(when, writes));
         self.defects.extend(misnamed_parts(writes));
         for w in writes {
-            if let Write::Put { key, record, .. } = w {
-                let size = serde_json::to_string(&record_value(record)).map_or(0, |s| s.len());
-                let too_large = size as f64 > self.value_kb * 1024.0;
-                if too_large && self.write_rps.is_some() {
-                    self.rejected += 1;
-                    return StateReply::Rejected;
-                }
-                if too_large {
-                    self.defects.push(format!("{key} has {size} bytes"));
-                }
+            let Write::Put { key, record, .. } = w else {
+                continue;
+            };
+            let size = serde_json::to_string(&record_value(record)).map_or(0, |s| s.len());
+            let too_large = size as f64 > self.value_kb * 1024.0;
+            if too_large && self.write_limit.is_some() {
+                self.rejected += 1;
+                return StateReply::Rejected;
             }
-            if let Write::Put { hold: Some(id), .. } = w
-                && !self.grants.contains_key(id)
-            {
-                return StateReply::NoGrant;
+            if too_large {
+                self.defects.push(format!("{key} has {size} bytes"));
             }
         }
-        let failed: Vec<Key> = when
+        let conditions: Vec<(String, u64)> = when
             .iter()
-            .filter(|(key, revision)| {
-                self.keys.get(&key.to_string()).map_or(0, |v| v.1) != *revision
-            })
-            .map(|(key, _)| key.clone())
+            .map(|(key, revision)| (key.to_string(), *revision))
             .collect();
-        if !failed.is_empty() {
-            return StateReply::Conflict { failed };
-        }
-        self.revision += 1;
-        let revision = self.revision;
-        for w in writes {
-            match w {
-                Write::Put { key, record, hold } => {
-                    self.change(&key.to_string(), Some((record.clone(), *hold)), revision);
-                }
-                Write::Delete { key } => self.change(&key.to_string(), None, revision),
-            }
+        match self
+            .store
+            .commit(&conditions, writes.iter().map(stored).collect())
+        {
+            CommitOutcome::Committed(revision) => StateReply::Committed { revision },
+            CommitOutcome::NoSuchLease => StateReply::NoGrant,
+            CommitOutcome::Conflict(failed) => StateReply::Conflict {
+                failed: failed.iter().filter_map(|path| Key::parse(path)).collect(),
+            },
         }
-        StateReply::Committed { revision }
+    }
+}
+
+/// A change as a follower gets it.
+fn change(change: &store::Change<Record>) -> Option<Change> {
+    let key = Key::parse(&change.path)?;
+    Some((key, change.revision, change.value.clone()))
+}
+
+/// A write as the store takes it.
+fn stored(write: &Write) -> store::Write<Record> {
+    match write {
+        Write::Put { key, record, hold } => store::Write::Put {
+            path: key.to_string(),
+            value: record.clone(),
+            lease: *hold,
+        },
+        Write::Delete { key } => store::Write::Delete {
+            path: key.to_string(),
+        },
     }
 }
 
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -1,7 +1,6 @@
 //! Troubles that strike some of what happens while they last, users who look closely, and
 //! what a scenario can ask of a world to show that a meeting took place.
 
-use super::checker::Said;
 use super::users::{Intent, edited};
 use super::world::{Args, Ev, Origin, Spec, World, arg, ms, num};
 use ciborium::Value;
@@ -9,6 +8,7 @@
 use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::JobId;
 use salttrestle::wire::{Report, StateOp, StateReply};
+use salttrestle_standins::checker::Said;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A share of what it strikes, and until when.
@@ -143,7 +143,7 @@
                 self.at(at, Ev::Asks(id.clone(), intent, n));
             }
         }
-        let stays = self.specs[id].service;
+        let stays = self.specs[id].task.service;
         if said == Said::Queued && !stays && self.strikes(|t| t.cancel_at_once) {
             self.user(id, Intent::Withdraw);
         }
@@ -325,7 +325,7 @@
             let left = (j.finished.len() as u32) < j.rec.count;
             j.told.accepted && !over && !held && !runs && left && self.checker.below_limit(&j.rec)
         });
-        let roomy = jobs.filter(|(id, j)| !self.specs[*id].broken && self.has_room(&j.rec));
+        let roomy = jobs.filter(|(id, j)| !self.specs[*id].task.broken && self.has_room(&j.rec));
         let roomy = roomy.map(|(id, _)| id.clone()).collect();
         let now = self.now;
         self.checker.check_waiting(now, &roomy);
@@ -353,12 +353,12 @@
 
     /// Jobs of which a record is cut into parts.
     fn jobs_in_parts(&self) -> usize {
-        let records = self.state.log.iter();
-        let parts = records.filter_map(|(key, _, record)| match (key, record) {
+        let changes = self.state.store.history.iter();
+        let parts = changes.filter_map(|change| match (Key::parse(&change.path)?, &change.value) {
             (Key::Run(id, _), Some(Record::Run(run))) if run.part.is_some() => Some(id),
             _ => None,
         });
-        parts.collect::<BTreeSet<&JobId>>().len()
+        parts.collect::<BTreeSet<JobId>>().len()
     }
 
     /// How often something took place, between two moments if they are given.
@@ -366,7 +366,7 @@
         let (from, to) = (ms(num(args, "from", 0.0)), ms(num(args, "to", 1e6)));
         let within = |at: &u64| (from..=to).contains(at);
         let jobs = self.checker.jobs.values();
-        let named = |j: &&super::checker::JobView| {
+        let named = |j: &&salttrestle_standins::checker::JobView| {
             arg(args, "class").is_none_or(|class| j.rec.class == class)
         };
         let jobs = jobs.filter(named);
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -1,18 +1,14 @@
 //! Users: submit, ask, cancel, and try again as PROTOCOL says they do.
 
-use super::checker::Said;
 use super::world::{Ev, Origin, Spec, World};
 use ciborium::Value;
 use salttrestle::core::{Input, Reply, Request};
 use salttrestle::ids::JobId;
 use salttrestle::wire;
-use serde::Deserialize;
+use salttrestle_standins::checker::Said;
+use salttrestle_standins::user::{POLL_MS, POLL_WAIT_MS, WAIT_MS, read_answer, retry_ms};
 use std::collections::BTreeMap;
 
-const POLL_MS: u64 = 5000;
-const POLL_WAIT_MS: u64 = 2000;
-const WAIT_MS: u64 = 5000;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intent {
     Submit,
@@ -27,11 +23,6 @@
     Probe,
 }
 
-#[derive(Deserialize)]
-struct StanceBody {
-    stance: String,
-}
-
 impl World {
     pub fn user(&mut self, id: &JobId, intent: Intent) {
         // Nobody calls off what hasn't been accepted yet.
@@ -117,21 +108,7 @@
                 self.checker.broken.push(what);
             }
         }
-        let said = match (&reply, status) {
-            (Some(r), 200 | 201) => match wire::decode::<StanceBody>(&r.body) {
-                Some(b) => match b.stance.as_str() {
-                    "queued" => Some(Said::Queued),
-                    "running" => Some(Said::Running),
-                    "done" => Some(Said::Done),
-                    "withdrawn" => Some(Said::Withdrawn),
-                    _ => None,
-                },
-                None => None,
-            },
-            (_, 404) => Some(Said::Unknown),
-            (_, 400 | 422) => Some(Said::Refused),
-            _ => None,
-        };
+        let said = reply.as_ref().and_then(|r| read_answer(r.status, &r.body));
         if let Some(said) = said {
             let news = self.checker.said(now, &id, said);
             self.answered.insert(id.clone(), now);
@@ -146,8 +123,8 @@
             }
             Intent::Poll if !over => self.after(POLL_MS, Ev::User(id, Intent::Poll)),
             Intent::Submit | Intent::Withdraw if said.is_none() => {
-                let pause = reply.and_then(|r| r.retry_after).unwrap_or(1).clamp(1, 30);
-                self.after(u64::from(pause) * 1000, Ev::User(id, intent));
+                let asked = reply.and_then(|r| r.retry_after).map(u64::from);
+                self.after(retry_ms(asked), Ev::User(id, intent));
             }
             _ => {}
         }
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -1,12 +1,9 @@
 //! The world: a queue of events in simulated time, links that can be cut, nodes that
 //! are killed, and the script that a scenario file holds.
 
-use super::checker::Checker;
-use super::cloud::Cloud;
 use super::state::{StateService, Waiter};
 use super::troubles::{Met, Troubles, trouble_ms};
 use super::users::Intent;
-use super::workers::Worker;
 use ciborium::cbor;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -15,18 +12,16 @@
 use salttrestle::ids::{JobId, Time};
 use salttrestle::settings::{NextStateLimits, Platform, Settings, Tuning};
 use salttrestle::wire::{self, ClassInfo, CloudOp, CloudReply, StateOp, StateReply};
+use salttrestle_standins::checker::Checker;
+use salttrestle_standins::cloud::Cloud;
+use salttrestle_standins::worker::{TaskSpec, Worker};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What the world knows of a job beside what was submitted.
 #[derive(Clone, Debug)]
 pub struct Spec {
     pub body: Vec<u8>,
-    pub image: String,
-    pub run_ms: u64,
-    pub fetch_ms: u64,
-    pub save_ms: u64,
-    pub service: bool,
-    pub broken: bool,
+    pub task: TaskSpec,
     pub needs: Vec<JobId>,
     /// Its user submits it only when all that it needs is over.
     pub late: bool,
@@ -194,16 +189,11 @@
             value("cancel", 35.0),
         );
         let state = one("state").unwrap_or(&[]);
-        let mut checker = Checker {
-            cancel_ms: ms(cancel),
-            ..Checker::default()
-        };
+        let mut limits = BTreeMap::new();
         let mut teams = Vec::new();
         for t in many("team") {
             let n = |key: &str| num(t, key, 0.0);
-            checker
-                .limits
-                .insert(t[0].clone(), (n("cpus_max"), n("gpus_max")));
+            limits.insert(t[0].clone(), (n("cpus_max"), n("gpus_max")));
             teams.push(
                 serde_json::json!({"name": t[0], "cpus": n("cpus"), "cpus_max": n("cpus_max"),
                 "gpus": n("gpus"), "gpus_max": n("gpus_max")}),
@@ -281,15 +271,10 @@
                 txn_ops: Some(num(l, "ops", 4.0) as usize),
             }),
             tuning,
-            state: StateService {
-                kept: 10_000,
-                value_kb: kb,
-                txn_ops: ops,
-                ..StateService::default()
-            },
+            state: StateService::new(kb, ops),
             cloud,
             workers: BTreeMap::new(),
-            checker,
+            checker: Checker::new(ms(cancel), limits),
             specs: HashMap::new(),
             origins: HashMap::new(),
             next_req: 0,
@@ -749,7 +734,7 @@
         let waits = self.state.outage || self.nodes[n].refused_until > now;
         if self.state.waiters.len() < before && !waits {
             let reply = StateReply::News {
-                revision: self.state.revision,
+                revision: self.state.store.revision,
                 news: Vec::new(),
             };
             let input = Input::State(call, reply);
@@ -895,7 +880,7 @@
             "stream" => self.stream(args, for_ms),
             "pipelines" => self.pipelines(args, for_ms),
             "poll-storm" => self.poll_storm(num(args, "rate", 50.0), for_ms),
-            "forget-log" => self.state.kept = args[0].parse().expect("a count"),
+            "forget-log" => self.state.store.kept = args[0].parse().expect("a count"),
             "stillborn" => self.cloud.stillborn = args[0].parse().expect("a count"),
             "capacity" => {
                 let key = (args[0].clone(), args[1].clone(), flag(args, "spot"));
@@ -1019,12 +1004,14 @@
         });
         let spec = Spec {
             body: wire::encode(&body.expect("a map")),
-            image,
-            run_ms: ms(run),
-            fetch_ms: ms(gb / 5.0),
-            save_ms: ms(save),
-            service,
-            broken: flag(args, "broken"),
+            task: TaskSpec {
+                image,
+                run_ms: ms(run),
+                fetch_ms: ms(gb / 5.0),
+                save_ms: ms(save),
+                service,
+                broken: flag(args, "broken"),
+            },
             needs: needs.iter().map(|id| JobId::from(id.as_str())).collect(),
             late: flag(args, "late"),
             hasty: flag(args, "hasty"),
