Scale run with real controllers and hollow workers; a sibling's link comes up again

Need: nothing showed the program at work as real processes under load; slopes for docs/CAPACITY.md have to be measured somewhere.

Change: package scale. One command plays an experiment (TOML, checked in full before anything starts): real controllers, and workers, cloud, state service and users over TCP on loopback addresses, a thread for each cell, the shared stand-ins behind them; kills, pauses, lost machines and outages; a checker over all cells; processor, memory, messages and bytes as JSON lines and a table; exit code 1 when a rule breaks or an aim is missed. A small run and the refusals are tests.

Found by it: a connection to a sibling that is made at once takes all of the first message and never becomes writable again, so the link stayed down for good after the sibling's restart, and reports that passed through this controller never reached it as the next holder. check_link is called after each message as well.

--- /dev/null
+++ b/scale/src/controllers.rs
@@ -0,0 +1,219 @@
+//! The controllers: real processes of the service's program, their settings files and logs. Only
+//! what was started here is ended here.
+
+use crate::experiment::{Cell, Experiment};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+const USER_PORT: u16 = 8080;
+const PEER_PORT: u16 = 8081;
+const STATE_PORT: u16 = 2379;
+const CLOUD_PORT: u16 = 8443;
+/// The last part of the address of a cell's services, and of its first controller.
+const SERVICES_HOST: u8 = 1;
+const FIRST_CONTROLLER_HOST: u8 = 10;
+/// Runs at the same time have networks of their own, as far as these go round.
+const NETWORKS: u32 = 200;
+/// What the hollow cloud takes, and how late its lists are.
+const CLOUD_RPS: f64 = 20.0;
+const LIST_LAG_S: f64 = 3.0;
+/// The fleet keeps its size: an empty machine goes back only after so many boot times.
+const PROPERTIES: &str = "scale.window = 100\n";
+
+/// The addresses of one cell.
+#[derive(Clone, Debug)]
+pub struct CellAddresses {
+    /// The state service.
+    pub state: SocketAddrV4,
+    /// The cloud.
+    pub cloud: SocketAddrV4,
+    /// Where each controller listens for users and workers.
+    pub controllers: Vec<SocketAddrV4>,
+    /// Where each controller listens for the others.
+    pub peers: Vec<SocketAddrV4>,
+}
+
+impl CellAddresses {
+    /// The addresses of the cell at `index`. Runs of other processes get others.
+    pub fn new(network: Ipv4Addr, index: usize, controllers: usize) -> Self {
+        let [a, b, _, _] = network.octets();
+        let second = b.wrapping_add(index as u8);
+        let third = (std::process::id() % NETWORKS) as u8;
+        let at =
+            |host: u8, port: u16| SocketAddrV4::new(Ipv4Addr::new(a, second, third, host), port);
+        let host = |n: usize| FIRST_CONTROLLER_HOST + n as u8;
+        Self {
+            state: at(SERVICES_HOST, STATE_PORT),
+            cloud: at(SERVICES_HOST, CLOUD_PORT),
+            controllers: (0..controllers).map(|n| at(host(n), USER_PORT)).collect(),
+            peers: (0..controllers).map(|n| at(host(n), PEER_PORT)).collect(),
+        }
+    }
+}
+
+/// The name of a cell's controller.
+pub fn member(cell: &Cell, n: usize) -> String {
+    format!("{}-{n}", cell.name)
+}
+
+/// One controller.
+pub struct Controller {
+    /// Its name.
+    pub member: String,
+    /// Its cell, by index.
+    pub cell: usize,
+    config: PathBuf,
+    properties: PathBuf,
+    log: PathBuf,
+    program: PathBuf,
+    child: Option<Child>,
+}
+
+impl Controller {
+    /// Writes a controller's files; `start` runs it.
+    pub fn prepare(
+        experiment: &Experiment,
+        (cell, n): (usize, usize),
+        addresses: &CellAddresses,
+        (program, folder): (&Path, &Path),
+    ) -> io::Result<Self> {
+        let member = member(&experiment.cells[cell], n);
+        let config = folder.join(format!("{member}.json"));
+        let properties = folder.join("controllers.properties");
+        let settings = platform(experiment, cell, n, addresses);
+        std::fs::write(&config, settings.to_string())?;
+        std::fs::write(&properties, PROPERTIES)?;
+        Ok(Self {
+            cell,
+            config,
+            properties,
+            log: folder.join(format!("{member}.log")),
+            program: program.into(),
+            child: None,
+            member,
+        })
+    }
+
+    /// Starts the process, unless it runs.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--properties")
+            .arg(&self.properties)
+            .arg("--config")
+            .arg(&self.config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Its process, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Makes the process stand still, or go on.
+    pub fn pause(&self, pause: bool) {
+        let pid = self.pid().and_then(|pid| Pid::from_raw(pid as i32));
+        let signal = if pause { Signal::STOP } else { Signal::CONT };
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether it has ended though nobody killed it.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+        self.child.as_mut().is_some_and(ended)
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        self.pause(false);
+        self.kill();
+    }
+}
+
+/// The settings that a platform would hand over.
+fn platform(
+    experiment: &Experiment,
+    cell: usize,
+    n: usize,
+    addresses: &CellAddresses,
+) -> serde_json::Value {
+    let (service, load) = (&experiment.service, &experiment.load);
+    let plan = &experiment.cells[cell];
+    let zone = |n: usize| &plan.zones[n % plan.zones.len()];
+    let others = (0..plan.controllers).filter(|other| *other != n);
+    let siblings = others.map(|other| {
+        json!({"member": member(plan, other), "site": zone(other),
+               "endpoint": addresses.peers[other].to_string()})
+    });
+    let teams = (0..load.teams).map(|team| {
+        json!({"name": team_name(team), "cpus": 0.0, "gpus": 0.0,
+               "cpus_max": load.team_limit[0], "gpus_max": load.team_limit[1]})
+    });
+    json!({
+        "member": member(plan, n), "site": zone(n),
+        "listen": addresses.controllers[n].to_string(),
+        "peer_listen": addresses.peers[n].to_string(),
+        "siblings": siblings.collect::<Vec<_>>(),
+        "services": {"cloud": addresses.cloud.to_string(), "state": addresses.state.to_string()},
+        "facts": {
+            "count": plan.controllers, "zones": plan.zones, "teams": teams.collect::<Vec<_>>(),
+            "objectives": [],
+            "workers": {"report_s": service.report_s, "lease_s": service.lease_s,
+                        "cancel_s": service.cancel_s},
+            "state": {"rps": service.state_rps, "write_rps": service.state_write_rps,
+                      "value_kb": service.state_value_kb, "txn_ops": service.state_txn_ops},
+            "cloud": {"rps": CLOUD_RPS, "list_lag_s": LIST_LAG_S},
+            "resources": {"cpu": 1.0, "mem_mb": 256.0, "max_sockets": service.controller_sockets},
+            "clock_off_ms": 1000.0
+        }
+    })
+}
+
+/// The name of a team.
+pub fn team_name(team: usize) -> String {
+    format!("team-{team}")
+}
+
+/// By how much the hollow cloud's lists lag, in milliseconds.
+pub fn list_lag_ms() -> u64 {
+    (LIST_LAG_S * 1000.0) as u64
+}
+
+/// The service's program: the one that is named, or the one that was built beside this program.
+pub fn find_program(named: Option<&Path>) -> io::Result<PathBuf> {
+    if let Some(path) = named {
+        return Ok(path.into());
+    }
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let mut candidates = folders.map(|folder| folder.join("salttrestle"));
+    let found = candidates.find(|path| path.is_file());
+    found.ok_or_else(|| {
+        let why = "the program 'salttrestle' isn't built beside this one; see --controller";
+        io::Error::new(io::ErrorKind::NotFound, why)
+    })
+}
--- /dev/null
+++ b/scale/tests/experiments.rs
@@ -0,0 +1,41 @@
+//! Experiments that mustn't be played are refused before anything starts, and the message names
+//! file, key and reason.
+
+use salttrestle_scale::experiment::{EMBEDDED, Experiment};
+
+#[test]
+fn bad_experiments_are_refused() {
+    let rows = [
+        ("seed = 1", "seed = 1\nspeed = 2", "speed"),
+        ("workers = 50", "workers = 9000", "cell.workers"),
+        ("workers = 50", "workers = 0", "cell.controllers"),
+        ("controllers = 3", "controllers = 25", "cell.controllers"),
+        ("measure_s = 12", "measure_s = 1200", "phases (seconds)"),
+        ("measure_s = 12", "measure_s = 0", "phases.measure_s"),
+        ("ramp_s = 3", "ramp_s = nan", "phases.ramp_s"),
+        (
+            "starts_per_s = 10",
+            "starts_per_s = 9999",
+            "load.starts_per_s",
+        ),
+        ("cancelled = 0.1", "cancelled = -1", "load.cancelled"),
+        ("seed = 1", "seed = 1\nnetwork = \"10.0.0.0\"", "network"),
+        ("name = \"north\"", "name = \"North 1\"", "cell.name"),
+        ("cell = \"north\"", "cell = \"south\"", "trouble.cell"),
+        ("down_s = 2", "down_s = 2\nup_s = 3", "up_s"),
+        ("kind = \"kill\"", "kind = \"melt\"", "melt"),
+        ("[phases]", "[[phases", "line 6"),
+    ];
+    for (from, to, key) in rows {
+        let text = EMBEDDED.replacen(from, to, 1);
+        assert_ne!(text, EMBEDDED, "{from} isn't in the experiment");
+        let refused = Experiment::parse("bad.toml", &text).expect_err(to);
+        assert_eq!(
+            (refused.file.as_str(), refused.key.as_str()),
+            ("bad.toml", key),
+            "{refused}"
+        );
+        assert!(!refused.reason.is_empty());
+    }
+    Experiment::parse("good.toml", EMBEDDED).expect("the embedded one is good");
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -86,7 +86,11 @@
                     }
                 }
             };
-            if !self.send(key, bytes) {
+            if self.send(key, bytes) {
+                // A connection that was made at once takes all of the first message, and never
+                // becomes writable again: its sibling stayed down for good after a restart.
+                self.check_link(key);
+            } else {
                 self.close(key);
             }
         }
