--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -5,9 +5,11 @@
 
 #![warn(missing_docs)]
 
+pub mod capacity;
 pub mod controllers;
 pub mod experiment;
 pub mod hollow;
 pub mod procfs;
 pub mod results;
 pub mod run;
+pub mod sweep;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,9 +1,12 @@
 //! The program: arguments, logging, exit codes. Everything else is in the library.
 
 use clap::{Parser, Subcommand};
+use salttrestle_scale::capacity::{SlopeTable, with_computed};
 use salttrestle_scale::controllers::find_program;
 use salttrestle_scale::experiment::{EMBEDDED, Experiment};
+use salttrestle_scale::results::Results;
 use salttrestle_scale::run::{Places, default_folder, play};
+use salttrestle_scale::sweep::Sweep;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -26,6 +29,39 @@
 enum Action {
     /// Play an experiment; without one, a small fleet whose leading controller is killed.
     Run(RunArguments),
+    /// Play an experiment again and again with one count after another varied, and fit a line for
+    /// each cost.
+    Sweep(SweepArguments),
+    /// Check, or make anew, the part of the capacity page that follows from the lines.
+    Capacity(CapacityArguments),
+}
+
+#[derive(clap::Args)]
+struct SweepArguments {
+    /// The experiment that is varied (TOML).
+    experiment: PathBuf,
+    /// What is varied (TOML).
+    sweep: PathBuf,
+    /// The service's program; the one beside this program if it isn't named.
+    #[arg(long, value_name = "FILE")]
+    controller: Option<PathBuf>,
+    /// Where settings, logs and results are left.
+    #[arg(long, value_name = "FOLDER")]
+    out: PathBuf,
+    /// What the sources are called in the table.
+    #[arg(long)]
+    sources: String,
+}
+
+#[derive(clap::Args)]
+struct CapacityArguments {
+    /// The lines, as a sweep left them (JSON).
+    slopes: PathBuf,
+    /// The page.
+    page: PathBuf,
+    /// Write the page anew instead of checking it.
+    #[arg(long)]
+    write: bool,
 }
 
 #[derive(clap::Args, Default)]
@@ -50,6 +86,8 @@
         .unwrap_or(Action::Run(RunArguments::default()))
     {
         Action::Run(arguments) => run(&arguments),
+        Action::Sweep(arguments) => sweep(&arguments),
+        Action::Capacity(arguments) => capacity(&arguments),
     };
     done.unwrap_or_else(|error| {
         eprintln!("salttrestle-scale: {error}");
@@ -64,7 +102,7 @@
 fn run(arguments: &RunArguments) -> Result<ExitCode, Box<dyn Error>> {
     let experiment = match &arguments.experiment {
         None => Experiment::parse("(embedded)", EMBEDDED)?,
-        Some(path) => Experiment::parse(&path.display().to_string(), &read(path)?)?,
+        Some(path) => read_experiment(path)?,
     };
     let program = find_program(arguments.controller.as_deref())?;
     let folder = arguments.out.clone();
@@ -83,3 +121,47 @@
         false => ExitCode::from(MISSED),
     })
 }
+
+fn read_experiment(path: &Path) -> Result<Experiment, Box<dyn Error>> {
+    Ok(Experiment::parse(
+        &path.display().to_string(),
+        &read(path)?,
+    )?)
+}
+
+fn sweep(arguments: &SweepArguments) -> Result<ExitCode, Box<dyn Error>> {
+    let base = read_experiment(&arguments.experiment)?;
+    let file = arguments.sweep.display().to_string();
+    let sweep = Sweep::parse(&file, &read(&arguments.sweep)?, &base)?;
+    let program = find_program(arguments.controller.as_deref())?;
+    let rows = sweep.play(&base, &program, &arguments.out);
+    let table = SlopeTable::from_rows(&arguments.sources, &base, &rows);
+    let lines = Results { rows }.json_lines();
+    std::fs::create_dir_all(&arguments.out)?;
+    std::fs::write(arguments.out.join("runs.jsonl"), lines)?;
+    let slopes = arguments.out.join("slopes.json");
+    std::fs::write(&slopes, serde_json::to_string_pretty(&table)? + "\n")?;
+    println!("{}", table.page());
+    println!("lines: {}", slopes.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn capacity(arguments: &CapacityArguments) -> Result<ExitCode, Box<dyn Error>> {
+    let table: SlopeTable = serde_json::from_str(&read(&arguments.slopes)?)?;
+    let page = read(&arguments.page)?;
+    let anew = with_computed(&page, &table).ok_or("the page has no computed part")?;
+    if arguments.write {
+        std::fs::write(&arguments.page, anew)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(match anew == page {
+        true => ExitCode::SUCCESS,
+        false => {
+            eprintln!(
+                "{}: doesn't follow from the lines",
+                arguments.page.display()
+            );
+            ExitCode::from(MISSED)
+        }
+    })
+}
--- a/scale/src/results.rs
+++ b/scale/src/results.rs
@@ -38,6 +38,8 @@
     pub seed: u64,
     /// What was varied, if the run is one of a sweep.
     pub axis: Option<String>,
+    /// Its size.
+    pub value: Option<f64>,
     /// Cells.
     pub cells: usize,
     /// Controllers.
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -110,7 +110,7 @@
 /// Plays an experiment.
 pub fn play(
     experiment: &Experiment,
-    axis: Option<&str>,
+    varied: Option<(String, f64)>,
     places: &Places,
 ) -> Result<Results, RunError> {
     std::fs::create_dir_all(places.folder)?;
@@ -119,7 +119,7 @@
     let mut run = Run::start(experiment, places)?;
     run.wait_until_ready()?;
     let (from, to) = run.play_load()?;
-    Ok(run.results(axis, &from, &to))
+    Ok(run.results(varied, &from, &to))
 }
 
 impl<'a> Run<'a> {
@@ -350,7 +350,7 @@
         Ok(())
     }
 
-    fn results(&self, axis: Option<&str>, from: &Mark, to: &Mark) -> Results {
+    fn results(&self, varied: Option<(String, f64)>, from: &Mark, to: &Mark) -> Results {
         let window_s = to.at.duration_since(from.at).as_secs_f64();
         let mut rows = Vec::new();
         for (n, controller) in self.controllers.iter().enumerate() {
@@ -388,12 +388,13 @@
         }
         rows.extend(self.seconds.iter().cloned().map(Row::Second));
         drop(checker);
-        let run = self.run_row(axis, from, to, window_s);
+        let mut run = self.run_row(from, to, window_s);
+        (run.axis, run.value) = varied.unzip();
         rows.push(Row::Run(run));
         Results { rows }
     }
 
-    fn run_row(&self, axis: Option<&str>, from: &Mark, to: &Mark, window_s: f64) -> RunRow {
+    fn run_row(&self, from: &Mark, to: &Mark, window_s: f64) -> RunRow {
         let now = self.shared.now_ms();
         let last: Vec<CellSample> = self.cells.iter().filter_map(|c| c.sample().ok()).collect();
         let open: usize = last.iter().map(|s| s.open_batch).sum();
@@ -416,7 +417,8 @@
         RunRow {
             name: self.experiment.name.clone(),
             seed: self.experiment.seed,
-            axis: axis.map(String::from),
+            axis: None,
+            value: None,
             cells: self.cells.len(),
             controllers: self.controllers.len(),
             workers: self.experiment.workers(),
