--- /dev/null
+++ b/cells/src/ledger.rs
@@ -0,0 +1,247 @@
+//! The records of a cell, and the only changes that may be made to them.
+//!
+//! Every change is a function from the records as they stand to the records as they shall stand.
+//! The caller commits it on the condition that all records which it was given are unchanged; so
+//! a change that is repeated, late or made by a leader of the past fails as a whole.
+//!
+//! What holds after any order of such commits in any number of cells: for each team, the shares of
+//! all cells and the transfers that were given and not yet taken are together exactly the limit in
+//! the record of the team's home cell.
+
+use crate::{Amount, Cell, Team};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Most teams in one transfer: it is part of a record, which has to stay small.
+pub const TRANSFER_TEAMS_MAX: usize = 16;
+
+/// What a cell may use, and the limits that it makes itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellRecord {
+    /// The generation of the cells file that was taken in last.
+    pub generation: u64,
+    /// What each team may use here. Every team that was ever known has a line.
+    pub shares: BTreeMap<Team, Amount>,
+    /// The limits in force of the teams whose home is here.
+    pub limits: BTreeMap<Team, Amount>,
+}
+
+/// How things stand between this cell and one other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkRecord {
+    /// The number of the last transfer to that cell.
+    pub sent: u64,
+    /// That transfer, until it is known to be taken.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pending: Option<Transfer>,
+    /// The number of the last transfer that was taken from that cell.
+    pub taken: u64,
+}
+
+/// Room that passes from one cell to another. Numbers rise by one for each pair of cells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// Its number.
+    pub number: u64,
+    /// How much of which teams.
+    pub amounts: Vec<(Team, Amount)>,
+}
+
+/// A team as the cells file has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HomeTeam {
+    /// Its home cell.
+    pub home: Cell,
+    /// The generation of the file with which it came.
+    pub since: u64,
+    /// Its limit then.
+    pub limit: Amount,
+}
+
+/// Why a change isn't made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// The transfer before it isn't known to be taken yet.
+    #[error("a transfer is under way")]
+    UnderWay,
+    /// There is nothing in it, or too much.
+    #[error("a transfer has one to {TRANSFER_TEAMS_MAX} teams, each once and with something")]
+    Malformed,
+    /// The cell holds more than would be left.
+    #[error("more is held than would be left")]
+    Held,
+    /// Its number isn't the next one.
+    #[error("the number isn't the next one")]
+    OutOfTurn,
+    /// It names a team of which this cell knows nothing.
+    #[error("the team isn't known")]
+    UnknownTeam,
+    /// The amounts are beyond all measure.
+    #[error("the amounts are too large")]
+    Overflow,
+    /// The cell isn't the team's home.
+    #[error("the team's home is another cell")]
+    NotHome,
+    /// The file is older than one that was taken in before.
+    #[error("the cells file is older than one that was taken in before")]
+    OldFile,
+    /// Nothing would change.
+    #[error("nothing would change")]
+    Unchanged,
+}
+
+impl CellRecord {
+    /// A cell's first record: it makes the limits of those teams at home here that are new with
+    /// this file. The limits of others were made before, wherever that was.
+    pub fn found(here: &Cell, generation: u64, teams: &BTreeMap<Team, HomeTeam>) -> Self {
+        let empty = Self {
+            generation,
+            ..Self::default()
+        };
+        empty.with_teams(here, teams, |team| team.since == generation)
+    }
+
+    /// Takes in a newer file: teams that came with it are known from now on.
+    pub fn adopt(
+        &self,
+        here: &Cell,
+        generation: u64,
+        teams: &BTreeMap<Team, HomeTeam>,
+    ) -> Result<Self, Refusal> {
+        if generation < self.generation {
+            return Err(Refusal::OldFile);
+        }
+        if generation == self.generation {
+            return Err(Refusal::Unchanged);
+        }
+        let before = self.generation;
+        let mut adopted = self.with_teams(here, teams, |team| team.since > before);
+        adopted.generation = generation;
+        Ok(adopted)
+    }
+
+    fn with_teams(
+        &self,
+        here: &Cell,
+        teams: &BTreeMap<Team, HomeTeam>,
+        is_new: impl Fn(&HomeTeam) -> bool,
+    ) -> Self {
+        let mut record = self.clone();
+        for (name, team) in teams {
+            if record.shares.contains_key(name) {
+                continue;
+            }
+            let made_here = team.home == *here && is_new(team);
+            let share = if made_here { team.limit } else { Amount::ZERO };
+            record.shares.insert(name.clone(), share);
+            if made_here {
+                record.limits.insert(name.clone(), team.limit);
+            }
+        }
+        record
+    }
+
+    /// What a team may use here.
+    pub fn share(&self, team: &str) -> Amount {
+        self.shares.get(team).copied().unwrap_or_default()
+    }
+
+    /// Moves a limit towards what is wanted. What is raised is added to this cell's own share at
+    /// once. What is lowered is taken from it, as far as more isn't held here; the rest of the old
+    /// limit stays in force until the other cells have given theirs.
+    pub fn change_limit(&self, team: &str, wanted: Amount, held: Amount) -> Result<Self, Refusal> {
+        let limit = *self.limits.get(team).ok_or(Refusal::NotHome)?;
+        let share = self.share(team);
+        let raise = wanted.beyond(limit);
+        let lower = limit.beyond(wanted).least(share.beyond(held));
+        if raise.is_zero() && lower.is_zero() {
+            return Err(Refusal::Unchanged);
+        }
+        let changed = |amount: Amount| {
+            let raised = amount.checked_add(raise).ok_or(Refusal::Overflow)?;
+            raised.checked_sub(lower).ok_or(Refusal::Held)
+        };
+        let mut record = self.clone();
+        record.limits.insert(team.into(), changed(limit)?);
+        record.shares.insert(team.into(), changed(share)?);
+        Ok(record)
+    }
+
+    /// The first commit of a transfer, at the giver. `held` is what is in use of each team's share
+    /// or promised to the cell's blocks.
+    pub fn give(
+        &self,
+        link: &LinkRecord,
+        amounts: Vec<(Team, Amount)>,
+        held: impl Fn(&str) -> Amount,
+    ) -> Result<(Self, LinkRecord), Refusal> {
+        if link.pending.is_some() {
+            return Err(Refusal::UnderWay);
+        }
+        if amounts.is_empty() || amounts.len() > TRANSFER_TEAMS_MAX {
+            return Err(Refusal::Malformed);
+        }
+        let mut record = self.clone();
+        for (team, amount) in &amounts {
+            let share = record.shares.get_mut(team).ok_or(Refusal::UnknownTeam)?;
+            let left = share.checked_sub(*amount).ok_or(Refusal::Held)?;
+            if amount.is_zero() {
+                return Err(Refusal::Malformed);
+            }
+            // Of what isn't given, anything may be held: a share that fell below what is in use
+            // gives nothing more.
+            let kept = |given: u64, left: u64, held: u64| given == 0 || left >= held;
+            let held = held(team);
+            if !kept(amount.0, left.0, held.0) || !kept(amount.1, left.1, held.1) {
+                return Err(Refusal::Held);
+            }
+            *share = left;
+        }
+        let number = link.sent.checked_add(1).ok_or(Refusal::Overflow)?;
+        let given = LinkRecord {
+            sent: number,
+            pending: Some(Transfer { number, amounts }),
+            taken: link.taken,
+        };
+        Ok((record, given))
+    }
+
+    /// The second commit of a transfer, at the taker.
+    pub fn take(
+        &self,
+        link: &LinkRecord,
+        transfer: &Transfer,
+    ) -> Result<(Self, LinkRecord), Refusal> {
+        if link.taken.checked_add(1) != Some(transfer.number) {
+            return Err(Refusal::OutOfTurn);
+        }
+        if transfer.amounts.is_empty() || transfer.amounts.len() > TRANSFER_TEAMS_MAX {
+            return Err(Refusal::Malformed);
+        }
+        let mut record = self.clone();
+        for (team, amount) in &transfer.amounts {
+            // A team that only a newer file names is waited for: the room stays in transit.
+            let share = record.shares.get_mut(team).ok_or(Refusal::UnknownTeam)?;
+            *share = share.checked_add(*amount).ok_or(Refusal::Overflow)?;
+        }
+        let taken = LinkRecord {
+            taken: transfer.number,
+            ..link.clone()
+        };
+        Ok((record, taken))
+    }
+}
+
+impl LinkRecord {
+    /// The third commit of a transfer, at the giver: the other cell has taken all up to `taken`.
+    pub fn forget(&self, taken: u64) -> Result<Self, Refusal> {
+        match &self.pending {
+            Some(pending) if pending.number <= taken => Ok(Self {
+                pending: None,
+                ..self.clone()
+            }),
+            _ => Err(Refusal::Unchanged),
+        }
+    }
+}
--- /dev/null
+++ b/cells/src/message.rs
@@ -0,0 +1,104 @@
+//! What two cells tell each other: `postcard` behind a length and a version. A message proves only
+//! what its sender had committed when it was sent; it may be lost, late, copied or overtaken.
+
+use crate::ledger::Transfer;
+use crate::{Amount, Cell, Team};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Raised when a message changes its form.
+pub const VERSION: u8 = 1;
+/// Most bytes of one message: the needs and recalls of a few hundred teams, and one transfer.
+pub const MESSAGE_MAX: usize = 64 * 1024;
+/// Bytes before a message: its length and the version.
+const HEAD: usize = 5;
+
+/// All that a cell has to tell another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkMessage {
+    /// The sender.
+    pub from: Cell,
+    /// The receiver.
+    pub to: Cell,
+    /// The generation of the sender's cells file.
+    pub generation: u64,
+    /// The number of the last transfer that the sender has taken from the receiver.
+    pub taken: u64,
+    /// The transfer to the receiver that the sender doesn't know to be taken.
+    pub transfer: Option<Transfer>,
+    /// What the sender needs.
+    pub needs: Vec<Need>,
+    /// What the sender, as the team's home, calls back.
+    pub recalls: Vec<Recall>,
+}
+
+/// What a cell needs of a team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Need {
+    /// The team.
+    pub team: Team,
+    /// What the cell has.
+    pub share: Amount,
+    /// How much more it would like to have.
+    pub more: Amount,
+}
+
+/// What a team's home calls back, since it lowers the team's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recall {
+    /// The team.
+    pub team: Team,
+    /// How much is still to come back, in all.
+    pub amount: Amount,
+}
+
+/// Why a link is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum LinkError {
+    /// Longer than any message.
+    #[error("a message is too large")]
+    TooLarge,
+    /// Another version.
+    #[error("a message has version {0}")]
+    Version(u8),
+    /// Not a message.
+    #[error("a message can't be read")]
+    Malformed,
+}
+
+/// Frames a message.
+pub fn frame(message: &LinkMessage) -> Result<Vec<u8>, LinkError> {
+    let body = postcard::to_stdvec(message).map_err(|_| LinkError::Malformed)?;
+    if body.len() > MESSAGE_MAX {
+        return Err(LinkError::TooLarge);
+    }
+    let mut out = Vec::with_capacity(body.len() + HEAD);
+    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    out.push(VERSION);
+    out.extend_from_slice(&body);
+    Ok(out)
+}
+
+/// Takes the next whole message off a buffer. `Err` when the link must be closed.
+pub fn unframe(buffer: &mut Vec<u8>) -> Result<Option<LinkMessage>, LinkError> {
+    if buffer.len() < HEAD {
+        return Ok(None);
+    }
+    let size = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    let version = buffer[HEAD - 1];
+    if version != VERSION {
+        return Err(LinkError::Version(version));
+    }
+    if size > MESSAGE_MAX {
+        return Err(LinkError::TooLarge);
+    }
+    if buffer.len() < size + HEAD {
+        return Ok(None);
+    }
+    let frame: Vec<u8> = buffer.drain(..size + HEAD).collect();
+    let read = postcard::take_from_bytes::<LinkMessage>(&frame[HEAD..]);
+    match read {
+        Ok((message, [])) => Ok(Some(message)),
+        _ => Err(LinkError::Malformed),
+    }
+}
--- /dev/null
+++ b/cells/src/sharing.rs
@@ -0,0 +1,132 @@
+//! What a cell gives to which other one. No rule rests on it: whatever is decided here, the ledger
+//! gives only what isn't held.
+//!
+//! A cell that needs more of a team than its share says so, and cells with more than they need give
+//! ahead of demand. Where all need more, each keeps what it uses and no more than an even part of
+//! what there is; a floor stays home in any case. A team's home that lowers its limit calls back
+//! from all cells, and for that nothing but what is held stays.
+
+use crate::ledger::TRANSFER_TEAMS_MAX;
+use crate::message::{LinkMessage, Need};
+use crate::{Amount, Cell, Team};
+use std::collections::BTreeMap;
+
+/// Less than this part of an even share isn't worth a transfer: cells that all need more would
+/// pass ever smaller amounts to and fro.
+const WORTH_PARTS: usize = 16;
+
+/// What this cell knows of one team in its own cell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TeamView {
+    /// Its share.
+    pub share: Amount,
+    /// What is in use of it or promised to the cell's blocks.
+    pub held: Amount,
+    /// What is in use.
+    pub used: Amount,
+    /// What would be in use if there were room.
+    pub wanted: Amount,
+    /// What stays here for urgent work while links are cut.
+    pub floor: Amount,
+}
+
+impl TeamView {
+    /// What this cell would like to have: what is wanted, an eighth more for what comes next, and
+    /// the floor.
+    pub fn target(&self) -> Amount {
+        self.wanted.plus(self.wanted.part(8)).most(self.floor)
+    }
+
+    /// How much more it would like to have.
+    pub fn need(&self) -> Amount {
+        self.target().beyond(self.share)
+    }
+}
+
+/// What is told to other cells of what this one needs.
+pub fn needs(teams: &BTreeMap<Team, TeamView>) -> Vec<Need> {
+    let needy = teams.iter().filter(|(_, view)| !view.need().is_zero());
+    let needs = needy.map(|(team, view)| Need {
+        team: team.clone(),
+        share: view.share,
+        more: view.need(),
+    });
+    needs.collect()
+}
+
+/// How much of a team's share is called back in this cell: at most all of it.
+pub fn called_back<'a>(
+    team: &str,
+    share: Amount,
+    messages: impl Iterator<Item = &'a LinkMessage>,
+) -> Amount {
+    let recalls = messages.flat_map(|m| &m.recalls).filter(|r| r.team == team);
+    recalls.fold(Amount::ZERO, |most, r| most.most(r.amount.least(share)))
+}
+
+/// What to give to each cell now, of what isn't held. `cells` is how many there are.
+pub fn gifts(
+    teams: &BTreeMap<Team, TeamView>,
+    messages: &BTreeMap<Cell, &LinkMessage>,
+    cells: usize,
+) -> BTreeMap<Cell, Vec<(Team, Amount)>> {
+    let mut left: BTreeMap<&Team, Amount> = BTreeMap::new();
+    for (team, view) in teams {
+        left.insert(team, view.share.beyond(view.held));
+    }
+    let mut gifts: BTreeMap<Cell, Vec<(Team, Amount)>> = BTreeMap::new();
+    let mut give = |to: &Cell, team: &Team, amount: Amount, left: &mut Amount| {
+        let list = gifts.entry(to.clone()).or_default();
+        let known = list.iter().any(|(other, _)| other == team);
+        let amount = amount.least(*left);
+        if !amount.is_zero() && !known && list.len() < TRANSFER_TEAMS_MAX {
+            list.push((team.clone(), amount));
+            *left = left.beyond(amount);
+        }
+    };
+    // What is called back goes first, and all that isn't held goes.
+    for (cell, message) in messages {
+        for recall in &message.recalls {
+            if let Some((team, free)) = left.iter_mut().find(|(team, _)| ***team == recall.team) {
+                give(cell, team, recall.amount, free);
+            }
+        }
+    }
+    for (cell, message) in messages {
+        for need in &message.needs {
+            let Some(view) = teams.get(&need.team) else {
+                continue;
+            };
+            let Some((team, free)) = left.iter_mut().find(|(team, _)| ***team == need.team) else {
+                continue;
+            };
+            let spare = free.least(view.share.beyond(keeps(view, need, cells)));
+            let worth = even_part(view, need, cells).part(WORTH_PARTS);
+            let amount = spare.least(need.more).unless_below(worth);
+            give(cell, team, amount, free);
+        }
+    }
+    gifts.retain(|_, amounts| !amounts.is_empty());
+    gifts
+}
+
+/// An even part of what this cell and another one have of a team.
+fn even_part(view: &TeamView, need: &Need, cells: usize) -> Amount {
+    view.share.plus(need.share).part(cells.clamp(1, 2))
+}
+
+/// What this cell keeps of a team against another one's need: all that it would like to have or,
+/// while the other has less than an even part of what both have, no more than that part.
+fn keeps(view: &TeamView, need: &Need, cells: usize) -> Amount {
+    let even = even_part(view, need, cells);
+    let target = view.target();
+    let of = |target: u64, even: u64, theirs: u64| match theirs < even {
+        true => target.min(even),
+        false => target,
+    };
+    let shared = Amount(
+        of(target.0, even.0, need.share.0),
+        of(target.1, even.1, need.share.1),
+    );
+    shared.most(view.floor).most(view.held)
+}
