Team limits change at run time, from a record at the state service

Change: s/own/limits, written by operators, stands in place of the settings' limits of the teams that it names. The leader takes a change into the blocks' allowances, on whose revisions starts are conditional already; a record that can't be read or names what there isn't is refused with revision and reason, and the last good one stays in force, also under a leader that never saw it. Without the record nothing changes, and nothing more is written.

--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -5,10 +5,11 @@
 //! are more blocks only once each has enough machines.
 
 use super::autoscaler::Scale;
+use super::team_limits::LimitsWanted;
 use super::*;
 use crate::peer::TeamCount;
 use crate::wire::Report;
-use log::info;
+use log::{info, warn};
 use std::collections::BTreeSet;
 
 /// Share of a block's lease without a count from its holder after which it goes to
@@ -364,7 +365,9 @@
             };
             let mut listed = first.clone();
             listed.machines = Some(h.entries());
-            listed.allowances = Some(self.whole_limits());
+            // As they are, if they were set at run time: what is in force changes elsewhere.
+            let whole = || self.limits_of_settings();
+            listed.allowances.get_or_insert_with(whole);
             if json_bytes(&listed) > self.record_most() {
                 // It goes on as one block, which needs no list.
                 return;
@@ -389,21 +392,37 @@
         recs.insert(block, rec);
     }
 
+    /// Lets the only block use what the limits allow, once that has changed.
+    fn limit_only_block(&self, recs: &mut BTreeMap<u32, BlockRec>) {
+        let wanted = match self.limits_wanted() {
+            LimitsWanted::OfSettings => None,
+            LimitsWanted::Set(limits) => Some(limits),
+            LimitsWanted::AsTheyAre => return,
+        };
+        let Some(rec) = recs.get_mut(&0) else {
+            return;
+        };
+        let limited = BlockRec {
+            allowances: wanted,
+            ..rec.clone()
+        };
+        if limited.allowances == rec.allowances {
+            return;
+        }
+        let (bytes, most) = (json_bytes(&limited), self.record_most());
+        if bytes > most {
+            warn!("the limits of all teams take {bytes} bytes, of at most {most}: not in force");
+            return;
+        }
+        *rec = limited;
+    }
+
     /// Most bytes of a block's record.
     fn record_most(&self) -> usize {
         let bytes = self.settings.state_limits().value_bytes;
         (bytes as f64 * RECORD_SHARE) as usize
     }
 
-    /// Every team's whole limit.
-    fn whole_limits(&self) -> BTreeMap<String, (f64, f64)> {
-        let teams = self.settings.platform.facts.teams.iter();
-        let limited = teams.filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
-        limited
-            .map(|t| (t.name.clone(), (t.cpus_max, t.gpus_max)))
-            .collect()
-    }
-
     /// New machines go to the block that lacks them most; deleted ones leave the lists. A machine
     /// never changes its block: only the holder knows what is on it.
     fn assign_machines(&mut self, recs: &mut BTreeMap<u32, BlockRec>) {
@@ -450,8 +469,13 @@
     /// gets only once the first one's use, counted under its new record, is below.
     fn share_limits(&self, recs: &mut BTreeMap<u32, BlockRec>) {
         if recs.len() < 2 {
-            return;
+            return self.limit_only_block(recs);
         }
+        let limits = match self.limits_wanted() {
+            LimitsWanted::OfSettings => self.limits_of_settings(),
+            LimitsWanted::Set(limits) => limits,
+            LimitsWanted::AsTheyAre => return,
+        };
         let marks = self.cache.blocks.iter();
         let marks: BTreeMap<u32, u64> = marks.map(|(k, b)| (*k, b.revision)).collect();
         let all = self.believed();
@@ -464,7 +488,7 @@
         let lease_s = self.settings.tuning.block_lease_s;
         let turns = (self.now.since(Time(0)) / lease_s) as usize % recs.len();
         let turn = recs.keys().nth(turns).copied().unwrap_or(0);
-        for (team, limit) in self.whole_limits() {
+        for (team, limit) in limits {
             let count = |t: &BlockCounts| {
                 let found = t.teams.iter().find(|(name, _)| *name == team);
                 found.map(|(_, c)| *c).unwrap_or_default()
@@ -527,13 +551,18 @@
 
 type PerBlock = BTreeMap<u32, f64>;
 
+/// Room for rounding when amounts are added and taken away many times.
+const SLACK: f64 = 1e-6;
+
 /// What each block may use from now on. Nothing changes while every block has what it
-/// wants. Otherwise the block whose turn it is gets all it wants, so that even a task
+/// wants and the limit wasn't lowered. Otherwise the block whose turn it is gets all it wants, so that even a task
 /// as large as the limit starts one day, and the others share the rest evenly. Room is
 /// given only once nobody uses it.
 fn shares(limit: f64, turn: u32, old: &PerBlock, used: &PerBlock, wanted: &PerBlock) -> PerBlock {
     let mut new = old.clone();
-    if limit <= 0.0 || wanted.iter().all(|(k, w)| *w <= old[k] + 1e-6) {
+    let lowered = old.values().sum::<f64>() > limit + SLACK;
+    let served = wanted.iter().all(|(k, w)| *w <= old[k] + SLACK);
+    if limit <= 0.0 || served && !lowered {
         return new;
     }
     let mut left = limit;
@@ -566,6 +595,13 @@
             *have = target;
         }
     }
+    // Below a lowered limit, what one block still uses beyond its part is no room for another.
+    let mut over = new.iter().map(|(k, a)| a.max(used[k])).sum::<f64>() - limit;
+    for (k, have) in &mut new {
+        let cut = over.min(*have - used[k]).max(0.0);
+        *have -= cut;
+        over -= cut;
+    }
     new
 }
 
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -183,6 +183,7 @@
 
     /// The leader's, a block's, the number's or the plan's record changed.
     pub(crate) fn on_control(&mut self) {
+        self.read_limits();
         let me = &self.settings.platform.member;
         let rested = self.now >= self.election.rest_until;
         let leader = self.cache.leader.rec.as_ref();
--- a/src/core/front/submissions.rs
+++ b/src/core/front/submissions.rs
@@ -96,7 +96,8 @@
             Form::Service => f64::from(rec.count),
         };
         let over = |need: f64, max: f64| max > 0.0 && need * times > max + 1e-6;
-        if over(rec.need.cpus, team.cpus_max) || over(rec.need.gpus, team.gpus_max) {
+        let (cpus_max, gpus_max) = self.team_limit(team);
+        if over(rec.need.cpus, cpus_max) || over(rec.need.gpus, gpus_max) {
             return Some("the job needs more than its team's limit".into());
         }
         None
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -73,6 +73,7 @@
     pub leader: Slot<LeaderRec>,
     pub number: Slot<NumberRec>,
     pub plan: Slot<PlanRec>,
+    pub limits: Slot<LimitsRec>,
     pub blocks: BTreeMap<u32, Slot<BlockRec>>,
     pub jobs: BTreeMap<JobId, CachedJob>,
     pub runs: BTreeMap<(JobId, u32), (u64, RunRec)>,
@@ -90,6 +91,8 @@
             (Key::Leader, None) => control(self.leader.set(revision, None)),
             (Key::Number, Some(Record::Number(r))) => control(self.number.set(revision, Some(r))),
             (Key::Plan, Some(Record::Plan(r))) => control(self.plan.set(revision, Some(r))),
+            (Key::Limits, Some(Record::Limits(r))) => control(self.limits.set(revision, Some(r))),
+            (Key::Limits, None) => control(self.limits.set(revision, None)),
             (Key::Block(k), Some(Record::Block(r))) => {
                 control(self.blocks.entry(k).or_default().set(revision, Some(r)))
             }
@@ -175,6 +178,9 @@
         if !listed.contains(&Key::Leader) {
             self.leader.set(listed_at, None);
         }
+        if !listed.contains(&Key::Limits) {
+            self.limits.set(listed_at, None);
+        }
         for change in entries {
             events.extend(self.apply(now, change));
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,6 +24,7 @@
 mod placement;
 pub mod records;
 mod relay;
+mod team_limits;
 mod workers;
 
 use crate::ids::*;
@@ -256,6 +257,7 @@
     /// Reads that were answered, while the follow hasn't come as far yet.
     fresh_waiting: VecDeque<FreshRead>,
     need_reads: needs::NeedReads,
+    team_limits: team_limits::TeamLimits,
     heard_at: Time,
     front: front::Front,
     election: election::Election,
@@ -317,6 +319,7 @@
             fresh_asked: CallId(0),
             fresh_waiting: VecDeque::new(),
             need_reads: needs::NeedReads::default(),
+            team_limits: team_limits::TeamLimits::default(),
             heard_at: Time(0),
             front: front::Front::default(),
             election: election::Election::default(),
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -20,6 +20,8 @@
     Number,
     Plan,
     Block(u32),
+    /// Team limits that operators set at run time.
+    Limits,
     Job(JobId),
     Run(JobId, u32),
     End(JobId),
@@ -33,6 +35,7 @@
             ("own", "leader") => Some(Self::Leader),
             ("own", "number") => Some(Self::Number),
             ("own", "plan") => Some(Self::Plan),
+            ("own", "limits") => Some(Self::Limits),
             ("own", other) => other.strip_prefix("block/")?.parse().ok().map(Self::Block),
             ("job", id) => JobId::parse(id).map(Self::Job),
             ("end", id) => JobId::parse(id).map(Self::End),
@@ -51,6 +54,7 @@
             Self::Leader => write!(f, "{PREFIX}own/leader"),
             Self::Number => write!(f, "{PREFIX}own/number"),
             Self::Plan => write!(f, "{PREFIX}own/plan"),
+            Self::Limits => write!(f, "{PREFIX}own/limits"),
             Self::Block(k) => write!(f, "{PREFIX}own/block/{k}"),
             Self::Job(id) => write!(f, "{PREFIX}job/{id}"),
             Self::Run(id, chunk) => write!(f, "{PREFIX}run/{id}/{chunk}"),
@@ -329,6 +333,19 @@
     serde_json::to_vec(value).map_or(0, |json| json.len() + 1)
 }
 
+/// CPUs and GPUs that each of some teams may use at most.
+pub type LimitsByTeam = BTreeMap<String, (f64, f64)>;
+
+/// Team limits that operators set at run time, in place of those of the settings. Written by
+/// operators alone, so that anything may stand there.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LimitsRec {
+    /// The limits, not yet checked against the teams that there are.
+    Teams(LimitsByTeam),
+    /// What stands there can't be read, and why.
+    Unreadable(String),
+}
+
 /// How a job ended, for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
@@ -342,6 +359,7 @@
     Number(NumberRec),
     Plan(PlanRec),
     Block(BlockRec),
+    Limits(LimitsRec),
     Job(Box<JobRec>),
     Run(RunRec),
     End(Ending),
--- /dev/null
+++ b/src/core/team_limits.rs
@@ -0,0 +1,119 @@
+//! Team limits that change at run time.
+//!
+//! Operators write the limits of some teams to a record at the state service, and these stand in
+//! place of the settings' from then on. In force is what the blocks' records allow, on whose
+//! revisions every start is conditional: the leader takes a change into them, and starts by
+//! earlier limits fail from that commit on. What is lowered below what runs is never called free:
+//! the allowance falls at once, and use falls as tasks are proven gone.
+//!
+//! A record that can't be read, or that names what there isn't, changes nothing: the last good one
+//! stays in force, also under a leader that never saw it, since the blocks' records keep it.
+
+use super::Core;
+use super::records::{LimitsByTeam, LimitsRec};
+use crate::settings::Team;
+use log::{info, warn};
+
+/// What this process knows of the operators' record.
+#[derive(Debug, Default)]
+pub(crate) struct TeamLimits {
+    /// The revision that was read last.
+    seen: u64,
+    /// The last good limits.
+    good: Option<LimitsByTeam>,
+    /// Whether what stands there now is no good.
+    refused: bool,
+}
+
+/// What the blocks together are to allow.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum LimitsWanted {
+    /// The limits of the settings.
+    OfSettings,
+    /// Those that were set at run time, with the settings' of all other teams.
+    Set(LimitsByTeam),
+    /// Whatever they allow now: what was set last isn't known here.
+    AsTheyAre,
+}
+
+impl Core {
+    /// The operators' record may have changed.
+    pub(super) fn read_limits(&mut self) {
+        let slot = &self.cache.limits;
+        if slot.revision == self.team_limits.seen {
+            return;
+        }
+        self.team_limits.seen = slot.revision;
+        let revision = slot.revision;
+        let checked = match &slot.rec {
+            None => Ok(None),
+            Some(LimitsRec::Unreadable(why)) => Err(why.clone()),
+            Some(LimitsRec::Teams(teams)) => {
+                check_limits(teams, &self.settings.platform.facts.teams).map(|()| Some(teams))
+            }
+        };
+        match checked {
+            Ok(teams) => {
+                let count = teams.map_or(0, LimitsByTeam::len);
+                info!("limits of {count} teams are set at run time, by revision {revision}");
+                self.team_limits.good = teams.cloned();
+                self.team_limits.refused = false;
+            }
+            Err(why) => {
+                warn!("limits of revision {revision} are refused, the last good ones stay: {why}");
+                self.team_limits.refused = true;
+            }
+        }
+    }
+
+    /// The limits of the settings, of every team that has one.
+    pub(super) fn limits_of_settings(&self) -> LimitsByTeam {
+        let teams = self.settings.platform.facts.teams.iter();
+        let limited = teams.filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        limited
+            .map(|t| (t.name.clone(), (t.cpus_max, t.gpus_max)))
+            .collect()
+    }
+
+    /// What the blocks together are to allow.
+    pub(super) fn limits_wanted(&self) -> LimitsWanted {
+        match &self.team_limits.good {
+            Some(set) => {
+                let mut limits = self.limits_of_settings();
+                limits.extend(set.clone());
+                LimitsWanted::Set(limits)
+            }
+            None if self.team_limits.refused => LimitsWanted::AsTheyAre,
+            None => LimitsWanted::OfSettings,
+        }
+    }
+
+    /// The limit by which a job of a team is accepted or refused.
+    pub(super) fn team_limit(&self, team: &Team) -> (f64, f64) {
+        let set = self.team_limits.good.as_ref();
+        let set = set.and_then(|limits| limits.get(&team.name).copied());
+        set.unwrap_or((team.cpus_max, team.gpus_max))
+    }
+}
+
+/// Whether limits are of teams that there are, and of amounts that can be limits. Whether a team
+/// has a limit at all is for the settings to say: 0 stands for none there.
+fn check_limits(limits: &LimitsByTeam, teams: &[Team]) -> Result<(), String> {
+    for (name, (cpus, gpus)) in limits {
+        let Some(team) = teams.iter().find(|t| t.name == *name) else {
+            return Err(format!("teams.{name}: unknown team"));
+        };
+        for (what, value, of_settings) in
+            [("CPUs", cpus, team.cpus_max), ("GPUs", gpus, team.gpus_max)]
+        {
+            if !value.is_finite() || *value < 0.0 {
+                return Err(format!("teams.{name}: {value} {what} are no limit"));
+            }
+            if (*value > 0.0) != (of_settings > 0.0) {
+                let why = "limited at run time exactly if they are by the settings";
+                return Err(format!("teams.{name}: {what} can be {why}"));
+            }
+        }
+    }
+    Ok(())
+}
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -1,6 +1,7 @@
 //! Calls to the state service and its answers.
 
 use super::*;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Write {
@@ -135,6 +136,10 @@
         Record::Number(r) => Value::serialized(r),
         Record::Plan(r) => Value::serialized(r),
         Record::Block(r) => Value::serialized(r),
+        Record::Limits(LimitsRec::Teams(teams)) => Value::serialized(&LimitsBody {
+            teams: teams.clone(),
+        }),
+        Record::Limits(LimitsRec::Unreadable(_)) => Ok(Value::Null),
         Record::Job(r) => Value::serialized(r),
         Record::Run(r) => Value::serialized(r),
         Record::End(r) => Value::serialized(r),
@@ -149,12 +154,35 @@
         Key::Number => data.deserialized().ok().map(Record::Number),
         Key::Plan => data.deserialized().ok().map(Record::Plan),
         Key::Block(_) => data.deserialized().ok().map(Record::Block),
+        // Operators write it: what can't be read has to be seen, and told.
+        Key::Limits => Some(Record::Limits(read_limits(&data))),
         Key::Job(_) => data.deserialized().ok().map(|r| Record::Job(Box::new(r))),
         Key::Run(..) => data.deserialized().ok().map(Record::Run),
         Key::End(_) => data.deserialized().ok().map(Record::End),
     }
 }
 
+/// Team limits as operators write them: CPUs and GPUs of each team.
+#[derive(Serialize)]
+struct LimitsBody {
+    teams: LimitsByTeam,
+}
+
+#[derive(Deserialize)]
+struct LimitsRead {
+    teams: BTreeMap<String, (Num, Num)>,
+}
+
+fn read_limits(data: &Value) -> LimitsRec {
+    match data.deserialized::<LimitsRead>() {
+        Ok(body) => {
+            let teams = body.teams.into_iter();
+            LimitsRec::Teams(teams.map(|(team, (c, g))| (team, (c.0, g.0))).collect())
+        }
+        Err(e) => LimitsRec::Unreadable(e.to_string()),
+    }
+}
+
 impl StateOp {
     pub fn call(&self) -> Call {
         let post = |path: String, body| Call {
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -71,6 +71,9 @@
         "stream",
         "capacity",
         "limits-fall",
+        "limits",
+        "limits-spoilt",
+        "limits-gone",
         "pipelines",
     ];
     if rest.contains(&line[0].as_str()) {
@@ -380,6 +383,11 @@
             "waiting-for-others" => self.met.waiting_for_others,
             "rejected" => self.state.rejected,
             "in-parts" => self.jobs_in_parts(),
+            "in-force" => {
+                let took = self.limit_changes.took.iter();
+                took.filter(|took| **took <= ms(num(args, "in", 5.0)))
+                    .count()
+            }
             "cancelled-at-end" => self.met.cancelled_at_end,
             "takeovers" => self.met.takeovers.iter().filter(|at| within(at)).count(),
             "cancels" => jobs.filter_map(|j| j.cancel_asked).filter(within).count(),
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -1,6 +1,7 @@
 //! The world: a queue of events in simulated time, links that can be cut, nodes that
 //! are killed, and the script that a scenario file holds.
 
+use super::limits::LimitChanges;
 use super::state::{StateService, Waiter};
 use super::troubles::{Met, Troubles, trouble_ms};
 use super::users::Intent;
@@ -128,6 +129,7 @@
     pub lose_commits: u32,
     /// The troubles under way, and which meetings took place.
     pub troubles: Troubles,
+    pub limit_changes: LimitChanges,
     pub met: Met,
     /// When the last trouble of the script is over.
     pub calm_at: u64,
@@ -283,6 +285,7 @@
             copies: None,
             lose_commits: 0,
             troubles: Troubles::default(),
+            limit_changes: LimitChanges::default(),
             met: Met::default(),
             calm_at: 0,
             throttle: (0, 0),
@@ -418,6 +421,7 @@
                 self.checker.check_cancelled(now);
                 self.check_waiting();
                 self.check_answers();
+                self.check_limits();
                 self.after(500, Ev::Check);
             }
             Ev::Expire => {
@@ -831,6 +835,10 @@
                 self.nodes[n].announced = true;
                 self.kill(n, ms(num(args, "down", 3.0)));
             }
+            "limits" => self.set_limits(args),
+            "limit-holds" => self.limit_holds(args),
+            "limits-spoilt" => self.spoil_limits(false),
+            "limits-gone" => self.spoil_limits(true),
             "limits-fall" => {
                 let now = self.now;
                 let next = self.next.expect("next limits");
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -5,6 +5,7 @@
 //! The bytes are those that commit 2175c80, in production before the upgrade to pipelines, writes
 //! and sends, but for [`RUN_PART`], which is newer.
 
+use ciborium::cbor;
 use salttrestle::core::ReqId;
 use salttrestle::core::chunks::{ChunkLayout, effective_runs};
 use salttrestle::core::records::*;
@@ -256,3 +257,42 @@
 const BEAT: &str = "0000004d04020d74726573746c6568616e642d30070308692d3030303233310f31302e312e302e3233323a39303030026738016101015829010000000000002940010b776b2d3030303339382f3001030100";
 const BEAT_ANSWER: &str = "0000000904030703c80101a00102";
 const TALLY: &str = "0000008b04010d74726573746c6568616e642d3000299c030102673800000000000000000000000000000000000000000000000000000000000000000000000001026738000161030102673800016201010267380008692d3030303233310108692d3030303233310106766973696f6e0000000000000000000000000000000000000000000000000000000000000000";
+
+/// What a controller reads of a record of team limits with this content.
+fn limits_read(data: &ciborium::Value) -> LimitsRec {
+    let body = cbor!({"path" => "s/own/limits", "data" => data, "mark" => 7});
+    let body = wire::encode(&body.expect("a map"));
+    match wire::StateOp::Get(Key::Limits).reply(200, &body) {
+        wire::StateReply::Found {
+            record: Record::Limits(limits),
+            revision: 7,
+        } => limits,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Operators write the limits, with whole numbers or decimals; what can't be read is still seen.
+#[test]
+fn limits_that_operators_write() {
+    let good = cbor!({"teams" => {"vision" => [64, 2.5]}, "note" => "June"});
+    let limits = LimitsRec::Teams([("vision".to_string(), (64.0, 2.5))].into());
+    assert_eq!(limits_read(&good.expect("a map")), limits);
+    let value = wire::record_value(&Record::Limits(limits.clone()));
+    assert_eq!(limits_read(&value), limits);
+    let bad = [
+        cbor!({}),
+        cbor!(null),
+        cbor!([1, 2]),
+        cbor!({"teams" => [["vision", 1, 2]]}),
+        cbor!({"teams" => {"vision" => [1]}}),
+        cbor!({"teams" => {"vision" => ["64", 2]}}),
+    ];
+    for value in bad {
+        let value = value.expect("a value");
+        let read = limits_read(&value);
+        assert!(
+            matches!(read, LimitsRec::Unreadable(_)),
+            "{value:?}: {read:?}"
+        );
+    }
+}
