--- a/scale/src/controllers.rs
+++ b/scale/src/controllers.rs
@@ -1,7 +1,7 @@
 //! The controllers: real processes of the service's program, their settings files and logs. Only
 //! what was started here is ended here.
 
-use crate::experiment::{Cell, Experiment};
+use crate::experiment::{Cell, Experiment, Sharing};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fs::File;
@@ -14,6 +14,10 @@
 const PEER_PORT: u16 = 8081;
 const STATE_PORT: u16 = 2379;
 const CLOUD_PORT: u16 = 8443;
+/// Where a controller listens for other cells, and where the proxy does in its place: a port for
+/// each cell from which messages come.
+const LINK_PORT: u16 = 8082;
+const FIRST_PROXY_PORT: u16 = 8100;
 /// The last part of the address of a cell's services, and of its first controller.
 const SERVICES_HOST: u8 = 1;
 const FIRST_CONTROLLER_HOST: u8 = 10;
@@ -36,9 +40,16 @@
     pub controllers: Vec<SocketAddrV4>,
     /// Where each controller listens for the others.
     pub peers: Vec<SocketAddrV4>,
+    /// Where each controller listens for other cells.
+    pub links: Vec<SocketAddrV4>,
 }
 
 impl CellAddresses {
+    /// Where the proxy listens for messages of one cell to one of this cell's controllers.
+    pub fn proxy(&self, from: usize, controller: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(*self.links[controller].ip(), FIRST_PROXY_PORT + from as u16)
+    }
+
     /// The addresses of the cell at `index`. Runs of other processes get others.
     pub fn new(network: Ipv4Addr, index: usize, controllers: usize) -> Self {
         let [a, b, _, _] = network.octets();
@@ -52,6 +63,7 @@
             cloud: at(SERVICES_HOST, CLOUD_PORT),
             controllers: (0..controllers).map(|n| at(host(n), USER_PORT)).collect(),
             peers: (0..controllers).map(|n| at(host(n), PEER_PORT)).collect(),
+            links: (0..controllers).map(|n| at(host(n), LINK_PORT)).collect(),
         }
     }
 }
@@ -69,6 +81,7 @@
     pub cell: usize,
     config: PathBuf,
     properties: PathBuf,
+    cells: Option<PathBuf>,
     log: PathBuf,
     program: PathBuf,
     child: Option<Child>,
@@ -79,19 +92,28 @@
     pub fn prepare(
         experiment: &Experiment,
         (cell, n): (usize, usize),
-        addresses: &CellAddresses,
+        all: &[CellAddresses],
         (program, folder): (&Path, &Path),
     ) -> io::Result<Self> {
         let member = member(&experiment.cells[cell], n);
         let config = folder.join(format!("{member}.json"));
         let properties = folder.join("controllers.properties");
-        let settings = platform(experiment, cell, n, addresses);
+        let settings = platform(experiment, cell, n, &all[cell]);
         std::fs::write(&config, settings.to_string())?;
         std::fs::write(&properties, PROPERTIES)?;
+        let cells = match &experiment.sharing {
+            None => None,
+            Some(sharing) => {
+                let path = folder.join(format!("cells-{}.properties", experiment.cells[cell].name));
+                std::fs::write(&path, cells_file(experiment, sharing, cell, all))?;
+                Some(path)
+            }
+        };
         Ok(Self {
             cell,
             config,
             properties,
+            cells,
             log: folder.join(format!("{member}.log")),
             program: program.into(),
             child: None,
@@ -105,7 +127,11 @@
             return Ok(());
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if let Some(cells) = &self.cells {
+            command.arg("--cells").arg(cells);
+        }
+        let child = command
             .arg("--properties")
             .arg(&self.properties)
             .arg("--config")
@@ -193,6 +219,42 @@
     })
 }
 
+/// The cells file of one cell's controllers: other cells are reached through the proxy.
+fn cells_file(
+    experiment: &Experiment,
+    sharing: &Sharing,
+    here: usize,
+    all: &[CellAddresses],
+) -> String {
+    let mut text = format!(
+        "cells.generation = 1\ncells.here = {}\n",
+        experiment.cells[here].name
+    );
+    for (at, cell) in experiment.cells.iter().enumerate() {
+        for n in 0..cell.controllers {
+            let address = match at == here {
+                true => all[at].links[n],
+                false => all[at].proxy(here, n),
+            };
+            text += &format!("cell.{}.{} = {address}\n", cell.name, member(cell, n));
+        }
+    }
+    let [cpus, gpus] = sharing.floor;
+    for team in 0..experiment.load.teams {
+        let (name, home) = (
+            team_name(team),
+            &experiment.cells[home_of(experiment, team)].name,
+        );
+        text += &format!("team.{name}.home = {home}\nteam.{name}.floor = {cpus} {gpus}\n");
+    }
+    text
+}
+
+/// The cell that makes a team's limit.
+pub fn home_of(experiment: &Experiment, team: usize) -> usize {
+    team % experiment.cells.len()
+}
+
 /// The name of a team.
 pub fn team_name(team: usize) -> String {
     format!("team-{team}")
--- a/scale/src/experiment.rs
+++ b/scale/src/experiment.rs
@@ -55,6 +55,9 @@
     pub service: Service,
     /// What users submit.
     pub load: Load,
+    /// Whether the cells share team limits, and how these change.
+    #[serde(default)]
+    pub sharing: Option<Sharing>,
     /// What is aimed at.
     #[serde(default)]
     pub aims: Aims,
@@ -147,6 +150,18 @@
     pub team_limit: [f64; 2],
 }
 
+/// Cells share team limits: `load.team_limit` is what a team may use in all of them together. Its
+/// home is one cell after another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sharing {
+    /// Limits changed a second while batch jobs come, each to between half and one and a half times
+    /// what it was at first.
+    pub changes_per_s: f64,
+    /// CPUs and GPUs of each team that stay in each cell.
+    pub floor: [f64; 2],
+}
+
 /// What is aimed at; the run fails if it is missed.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -160,6 +175,9 @@
     /// At least this share of the starts that were asked for takes place.
     #[serde(default)]
     pub starts_share: Option<f64>,
+    /// 99% of the changes of limits are in force within this time, in seconds.
+    #[serde(default)]
+    pub limits_within_s: Option<f64>,
 }
 
 /// One cell: a whole installation.
@@ -234,6 +252,24 @@
         /// For how long, in seconds.
         for_s: f64,
     },
+    /// The link to another cell is cut.
+    LinkCut {
+        /// The other cell; all others if it isn't named.
+        to: Option<String>,
+        /// For how long, in seconds.
+        for_s: f64,
+        /// Only what this cell tells is lost, not what it is told.
+        #[serde(default)]
+        one_way: bool,
+        /// What is sent meanwhile comes when the cut is over.
+        #[serde(default)]
+        hold: bool,
+    },
+    /// Users of the cell submit so many times as many batch jobs from now on.
+    Load {
+        /// How many times as many as at first.
+        factor: f64,
+    },
 }
 
 impl Experiment {
@@ -281,8 +317,13 @@
             return wrong(key, reason);
         }
         for trouble in &self.troubles {
-            if !self.cells.iter().any(|c| c.name == trouble.cell) {
-                return wrong("trouble.cell", format!("there is no cell {}", trouble.cell));
+            let named = match &trouble.what {
+                TroubleKind::LinkCut { to, .. } => to.as_ref(),
+                _ => None,
+            };
+            let known = |name: &&String| self.cells.iter().any(|c| c.name == **name);
+            if let Some(name) = [&trouble.cell].into_iter().chain(named).find(|n| !known(n)) {
+                return wrong("trouble.cell", format!("there is no cell {name}"));
             }
         }
         Ok(())
@@ -298,6 +339,10 @@
             ("load.starts_per_s", l.starts_per_s),
             ("load.urgent_per_s", l.urgent_per_s),
             ("load.cancelled", l.cancelled),
+            (
+                "sharing.changes_per_s",
+                self.sharing.as_ref().map_or(0.0, |s| s.changes_per_s),
+            ),
         ];
         let positive = [
             ("phases.measure_s", p.measure_s),
--- a/scale/src/hollow/cell.rs
+++ b/scale/src/hollow/cell.rs
@@ -2,16 +2,17 @@
 
 use super::cloud_service::{read_request, write_answer};
 use super::connections::{Arrival, Connections, LINKS, Role, Traffic};
-use super::state_service::{Answer, StateCounts, StateService};
+use super::state_service::{Answer, BLOCK, StateCounts, StateService};
 use super::users::Users;
 use super::workers::{Fleet, ROUND_MS};
 use crate::controllers::{CellAddresses, list_lag_ms, member};
 use crate::experiment::{Experiment, Load, Phases};
+use crate::limit_watch::LimitWatch;
 use crate::procfs::{CpuTime, thread_cpu};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use salttrestle::core::records::Room;
+use salttrestle::core::records::{LimitsByTeam, Room};
 use salttrestle::http::{self, Message};
 use salttrestle::ids::JobId;
 use salttrestle::wire::{ClassInfo, CloudReply};
@@ -89,6 +90,7 @@
     started: Instant,
     checker: Mutex<Checker>,
     over: Mutex<BTreeSet<JobId>>,
+    limits: Mutex<LimitWatch>,
 }
 
 impl Shared {
@@ -98,6 +100,7 @@
             started: Instant::now(),
             checker: Mutex::new(checker),
             over: Mutex::new(BTreeSet::new()),
+            limits: Mutex::new(LimitWatch::default()),
         }
     }
 
@@ -113,6 +116,13 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
+    /// What the cells allow teams, and which changes of that are in force.
+    pub fn limits(&self) -> MutexGuard<'_, LimitWatch> {
+        self.limits
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
     /// A job's user knows that it is over; true if that is news.
     pub fn note_over(&self, job: &JobId) -> bool {
         let mut over = self
@@ -138,6 +148,10 @@
     },
     /// The state service answers nobody for a time in milliseconds.
     StateOutage(u64),
+    /// So many times as many batch jobs come as at first.
+    Load(f64),
+    /// Operators set a team's limit, of CPUs and GPUs.
+    SetLimit(String, (f64, f64)),
     /// Say how things stand.
     Sample(Sender<CellSample>),
     /// End.
@@ -192,6 +206,7 @@
     boots: BTreeMap<(u64, String), ()>,
     losses: BTreeMap<(u64, String), ()>,
     state_back_at: Option<u64>,
+    limits_set: LimitsByTeam,
     looked_at: u64,
 }
 
@@ -217,6 +232,7 @@
             boots: BTreeMap::new(),
             losses: BTreeMap::new(),
             state_back_at: None,
+            limits_set: LimitsByTeam::new(),
             looked_at: 0,
             plan,
             shared,
@@ -268,6 +284,12 @@
                     self.state.set_outage(now, true);
                     self.state_back_at = Some(now + for_ms);
                 }
+                Ok(Command::Load(factor)) => self.users.set_factor(now, factor),
+                Ok(Command::SetLimit(team, limit)) => {
+                    self.limits_set.insert(team, limit);
+                    self.state.set_limits(&self.limits_set);
+                    self.wake_followers(now);
+                }
                 Ok(Command::Sample(to)) => {
                     let _ = to.send(self.sample());
                 }
@@ -366,6 +388,7 @@
                 if let Some(answer) = self.state.execute(now, key, &message) {
                     self.answer_later(now, key, answer);
                 }
+                self.note_limits(now);
                 self.wake_followers(now);
             }
             Arrival::Message(key, Role::Cloud, message) => self.cloud_request(now, key, &message),
@@ -396,6 +419,25 @@
         }
     }
 
+    /// What the limits in force became by what was just written.
+    fn note_limits(&mut self, now: u64) {
+        for (path, value) in self.state.take_written() {
+            if path == BLOCK {
+                if let Ok(view) = value.deserialized() {
+                    self.shared
+                        .limits()
+                        .block_changed(now, self.plan.index, view);
+                }
+            } else if let Ok(record) = value.deserialized() {
+                let limits = self.shared.limits().cell_changed(now, &record);
+                let mut checker = self.shared.checker();
+                for (team, limit) in limits {
+                    checker.set_limit(now, &team, limit);
+                }
+            }
+        }
+    }
+
     fn cloud_request(&mut self, now: u64, key: usize, message: &Message) {
         let Some(op) = read_request(message) else {
             let malformed = (400, salttrestle::wire::error_body("malformed"));
--- a/scale/src/hollow/state_service.rs
+++ b/scale/src/hollow/state_service.rs
@@ -2,6 +2,7 @@
 
 use crate::experiment::Service;
 use ciborium::Value;
+use salttrestle::core::records::LimitsByTeam;
 use salttrestle::http::Message;
 use salttrestle::wire;
 use salttrestle_standins::rate::RateLimit;
@@ -68,6 +69,19 @@
     outage: bool,
     /// What it has done so far.
     pub counts: StateCounts,
+    /// The records of limits that were written since they were last taken.
+    written: Vec<(String, Rc<Value>)>,
+}
+
+/// Records that say what teams may use.
+pub const BLOCK: &str = "s/own/block/0";
+pub const CELL: &str = "s/own/cell";
+/// What operators write of limits.
+const LIMITS: &str = "s/own/limits";
+
+#[derive(Serialize)]
+struct LimitsBody<'a> {
+    teams: &'a LimitsByTeam,
 }
 
 #[derive(Deserialize)]
@@ -185,9 +199,26 @@
             waiters: Vec::new(),
             outage: false,
             counts: StateCounts::default(),
+            written: Vec::new(),
         }
     }
 
+    /// Operators set limits.
+    pub fn set_limits(&mut self, teams: &LimitsByTeam) {
+        let value = Value::serialized(&LimitsBody { teams }).unwrap_or(Value::Null);
+        let write = Write::Put {
+            path: LIMITS.into(),
+            value: Rc::new(value),
+            lease: None,
+        };
+        self.store.commit(&[], vec![write]);
+    }
+
+    /// The records of limits that were written since they were last taken.
+    pub fn take_written(&mut self) -> Vec<(String, Rc<Value>)> {
+        std::mem::take(&mut self.written)
+    }
+
     /// Begins or ends an outage.
     pub fn set_outage(&mut self, now: u64, outage: bool) {
         if self.outage && !outage {
@@ -282,8 +313,16 @@
         }
         let conditions = body.when.into_iter().map(|c| (c.path, c.revision));
         let conditions: Vec<(String, u64)> = conditions.collect();
+        let of_limits = writes.iter().filter_map(|write| match write {
+            Write::Put { path, value, .. } if path == BLOCK || path == CELL => {
+                Some((path.clone(), value.clone()))
+            }
+            _ => None,
+        });
+        let of_limits: Vec<(String, Rc<Value>)> = of_limits.collect();
         match self.store.commit(&conditions, writes) {
             CommitOutcome::Committed(revision) => {
+                self.written.extend(of_limits);
                 self.counts.commits += 1;
                 self.counts.changes += operations as u64;
                 self.store.compact();
--- a/scale/src/hollow/users.rs
+++ b/scale/src/hollow/users.rs
@@ -132,6 +132,8 @@
     streams: Vec<Stream>,
     /// From when batch and urgent jobs come.
     batch_from: f64,
+    /// How many times as many batch jobs come as at first.
+    factor: f64,
     /// Until when batch and urgent jobs come.
     load_until: u64,
     /// Batch and urgent jobs that aren't over as far as their users know.
@@ -160,6 +162,7 @@
             probes: (0..controllers).map(|_| probe()).collect(),
             streams: Vec::new(),
             batch_from: 0.0,
+            factor: 1.0,
             load_until: 0,
             open_batch: 0,
             failed: 0,
@@ -193,6 +196,14 @@
         self.streams[0].next_at += 0.5 * ms(1.0) / self.streams[0].per_s.max(0.001);
     }
 
+    /// So many times as many batch jobs come from now on as at first.
+    pub fn set_factor(&mut self, now: u64, factor: f64) {
+        self.factor = factor;
+        for stream in &mut self.streams {
+            stream.next_at = stream.next_at.max(now as f64);
+        }
+    }
+
     /// Submits, asks and probes whatever is due.
     pub fn tick(&mut self, now: u64, connections: &mut Connections, rng: &mut StdRng) {
         self.new_jobs(now);
@@ -215,10 +226,16 @@
                     STANDING => self.batch_from,
                     _ => self.load_until as f64,
                 };
-                if stream.per_s <= 0.0 || stream.next_at > now as f64 || stream.next_at >= until {
+                let factor = if stream.class == BATCH {
+                    self.factor
+                } else {
+                    1.0
+                };
+                let per_s = stream.per_s * factor;
+                if per_s <= 0.0 || stream.next_at > now as f64 || stream.next_at >= until {
                     break;
                 }
-                stream.next_at += 1000.0 / stream.per_s;
+                stream.next_at += 1000.0 / per_s;
                 stream.count += 1;
                 let (class, count) = (stream.class, stream.count);
                 self.submit(now, class, count);
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod controllers;
 pub mod experiment;
 pub mod hollow;
+pub mod limit_watch;
+pub mod link_proxy;
 pub mod procfs;
 pub mod results;
 pub mod run;
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -1,12 +1,15 @@
 //! One run: starts everything, plays the load and the troubles, measures, judges, ends everything.
 
-use crate::controllers::{CellAddresses, Controller, team_name};
+use crate::controllers::{CellAddresses, Controller, home_of, team_name};
 use crate::experiment::{Experiment, MEMORY_MAX_MB, Trouble, TroubleKind, Which};
 use crate::hollow::{CellPlan, CellSample, Command, HollowCell, Shared};
+use crate::link_proxy::{CutKind, LinkProxy};
 use crate::procfs::{CpuTime, process_cpu, process_files, process_memory_mb};
 use crate::results::{
     HollowRow, LatencyRow, LinkRow, ProcessRow, Results, Row, RunRow, SecondRow, StateRow,
 };
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use salttrestle_standins::checker::{Checker, JobView};
 use std::collections::BTreeMap;
 use std::io;
@@ -105,6 +108,8 @@
     resumes: Vec<(Instant, usize)>,
     seconds: Vec<SecondRow>,
     self_ended: Vec<String>,
+    links: LinkProxy,
+    rng: StdRng,
 }
 
 /// Plays an experiment.
@@ -124,7 +129,11 @@
 
 impl<'a> Run<'a> {
     fn start(experiment: &'a Experiment, places: &Places) -> Result<Self, RunError> {
-        let cells = experiment.cells.len() as f64;
+        // Cells that share limits have one for all of them together.
+        let cells = match &experiment.sharing {
+            Some(_) => 1.0,
+            None => experiment.cells.len() as f64,
+        };
         let limit = experiment.load.team_limit;
         let limits = (0..experiment.load.teams)
             .map(|team| (team_name(team), (limit[0] * cells, limit[1] * cells)));
@@ -140,14 +149,24 @@
             resumes: Vec::new(),
             seconds: Vec::new(),
             self_ended: Vec::new(),
+            links: LinkProxy::default(),
+            rng: StdRng::seed_from_u64(experiment.seed),
         };
+        let all: Vec<CellAddresses> = experiment
+            .cells
+            .iter()
+            .enumerate()
+            .map(|(n, cell)| CellAddresses::new(experiment.network, n, cell.controllers))
+            .collect();
+        if experiment.sharing.is_some() {
+            run.join_cells(&all)?;
+        }
         for (index, cell) in experiment.cells.iter().enumerate() {
-            let addresses = CellAddresses::new(experiment.network, index, cell.controllers);
-            let plan = Arc::new(CellPlan::new(experiment, index, addresses.clone()));
+            let plan = Arc::new(CellPlan::new(experiment, index, all[index].clone()));
             run.cells.push(start_cell(plan, shared.clone())?);
             for n in 0..cell.controllers {
                 let files = (places.program, places.folder);
-                let made = Controller::prepare(experiment, (index, n), &addresses, files)?;
+                let made = Controller::prepare(experiment, (index, n), &all, files)?;
                 run.controllers.push(made);
             }
         }
@@ -157,6 +176,19 @@
         Ok(run)
     }
 
+    /// Carries the messages between cells.
+    fn join_cells(&mut self, all: &[CellAddresses]) -> Result<(), RunError> {
+        for from in 0..all.len() {
+            for (to, addresses) in all.iter().enumerate().filter(|(to, _)| *to != from) {
+                for (n, target) in addresses.links.iter().enumerate() {
+                    self.links
+                        .carry((from, to), addresses.proxy(from, n), *target)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn wait_until_ready(&mut self) -> Result<(), RunError> {
         let began = Instant::now();
         for (cell, plan) in self.cells.iter().zip(&self.experiment.cells) {
@@ -187,6 +219,12 @@
         let measure_to = measure_from + phases.measure_s;
         let mut troubles: Vec<&Trouble> = self.experiment.troubles.iter().collect();
         let mut next_sample = SAMPLE_S;
+        let changes_per_s = self
+            .experiment
+            .sharing
+            .as_ref()
+            .map_or(0.0, |s| s.changes_per_s);
+        let mut next_change = phases.ramp_s;
         let (mut from, mut to): (Option<Mark>, Option<Mark>) = (None, None);
         loop {
             std::thread::sleep(LOOK);
@@ -196,6 +234,10 @@
                 self.strike(trouble)?;
             }
             self.bring_back()?;
+            while changes_per_s > 0.0 && at_s >= next_change && at_s < measure_to {
+                next_change += 1.0 / changes_per_s;
+                self.change_limit();
+            }
             if from.is_none() && at_s >= measure_from {
                 from = Some(self.mark()?);
             }
@@ -312,6 +354,17 @@
                     over_ms: ms(*over_s),
                 },
             ),
+            TroubleKind::LinkCut {
+                to,
+                for_s,
+                one_way,
+                hold,
+            } => {
+                let kind = if *hold { CutKind::Hold } else { CutKind::Drop };
+                let lasts = Duration::from_secs_f64(*for_s);
+                self.cut_links(cell, to.as_ref(), lasts, *one_way, kind);
+            }
+            TroubleKind::Load { factor } => self.tell(cell, Command::Load(*factor)),
             TroubleKind::StateOutage { for_s } => {
                 self.tell(cell, Command::StateOutage(ms(*for_s)));
             }
@@ -319,6 +372,47 @@
         Ok(())
     }
 
+    /// An operator changes one team's limit, at its home.
+    fn change_limit(&mut self) {
+        let load = &self.experiment.load;
+        let team = self.rng.random_range(0..load.teams);
+        let times = f64::from(self.rng.random_range(4..=12)) / 8.0;
+        let limit = load.team_limit.map(|most| (most * times).floor());
+        let limit = (limit[0], limit[1]);
+        let name = team_name(team);
+        let now = self.shared.now_ms();
+        let before = self
+            .shared
+            .checker()
+            .limits
+            .get(&name)
+            .copied()
+            .unwrap_or_default();
+        self.shared.limits().asked(now, &name, limit, before);
+        self.tell(
+            home_of(self.experiment, team),
+            Command::SetLimit(name, limit),
+        );
+    }
+
+    fn cut_links(
+        &self,
+        cell: usize,
+        to: Option<&String>,
+        lasts: Duration,
+        one_way: bool,
+        kind: CutKind,
+    ) {
+        for (other, found) in self.cells.iter().enumerate() {
+            if other != cell && to.is_none_or(|name| *name == found.name) {
+                self.links.cut((cell, other), kind, lasts);
+                if !one_way {
+                    self.links.cut((other, cell), kind, lasts);
+                }
+            }
+        }
+    }
+
     fn tell(&self, cell: usize, command: Command) {
         let _ = self.cells[cell].commands.send(command);
     }
@@ -388,6 +482,18 @@
         }
         rows.extend(self.seconds.iter().cloned().map(Row::Second));
         drop(checker);
+        if self.experiment.sharing.is_some() {
+            let limits = self.shared.limits();
+            let raised = limits.raised_ms.iter().copied();
+            rows.push(Row::Latency(LatencyRow::new("limits raised", raised)));
+            let lowered = limits.lowered_ms.iter().copied();
+            rows.push(Row::Latency(LatencyRow::new("limits lowered", lowered)));
+            info!(
+                "{} changes of limits replaced before they were in force, {} not in force",
+                limits.replaced,
+                limits.open()
+            );
+        }
         let mut run = self.run_row(from, to, window_s);
         (run.axis, run.value) = varied.unzip();
         rows.push(Row::Run(run));
@@ -432,8 +538,32 @@
             killed: last.iter().map(|s| s.killed).sum(),
             user_failures: last.iter().map(|s| s.user_failures).sum(),
             broken,
-            missed: missed_aims(self.experiment, &checker, open, starts_per_s),
+            missed: self.missed_aims(&checker, open, starts_per_s),
+        }
+    }
+
+    fn missed_aims(&self, checker: &Checker, open: usize, starts_per_s: f64) -> Vec<String> {
+        let mut missed = missed_aims(self.experiment, checker, open, starts_per_s);
+        let limits = self.shared.limits();
+        let Some(within_s) = self.experiment.aims.limits_within_s else {
+            return missed;
+        };
+        for (what, times) in [
+            ("raised", &limits.raised_ms),
+            ("lowered", &limits.lowered_ms),
+        ] {
+            let p99 = LatencyRow::new(what, times.iter().copied()).p99;
+            if p99 as f64 > within_s * 1000.0 {
+                missed.push(format!("limits {what}: in force after {p99} ms at p99"));
+            }
+        }
+        if limits.open() > 0 {
+            missed.push(format!(
+                "{} changes of limits never came into force",
+                limits.open()
+            ));
         }
+        missed
     }
 }
 
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -262,6 +262,10 @@
         highest: Number,
     ) {
         let mut when = vec![(Key::Leader, self.cache.leader.version())];
+        if self.settings.cells.is_some() {
+            // What the blocks may use was taken from this record.
+            when.push((Key::Cell, self.cache.cell.version()));
+        }
         let (mut writes, mut bytes) = (Vec::new(), 0);
         let most = self.settings.state_limits().txn_ops - 1;
         for (block, rec) in after {
@@ -366,7 +370,10 @@
             let mut listed = first.clone();
             listed.machines = Some(h.entries());
             // As they are, if they were set at run time: what is in force changes elsewhere.
-            let whole = || self.limits_of_settings();
+            let whole = || match self.settings.cells {
+                None => self.limits_of_settings(),
+                Some(_) => LimitsByTeam::new(),
+            };
             listed.allowances.get_or_insert_with(whole);
             if json_bytes(&listed) > self.record_most() {
                 // It goes on as one block, which needs no list.
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -137,6 +137,7 @@
             Purpose::Plan => self.on_planned(reply),
             Purpose::Lease => self.on_leased(reply),
             Purpose::Release => {}
+            Purpose::CellChange => self.on_cell_changed(reply),
             of_block => self.on_block_reply(of_block, tenure, reply),
         }
         self.catch_up();
--- /dev/null
+++ b/src/core/cells.rs
@@ -0,0 +1,477 @@
+//! What the leader does for the limits that its cell shares with others.
+//!
+//! The cell's record and one for each other cell stand at this cell's own state service. The leader
+//! makes one change of them at a time, as `salttrestle_cells::ledger` allows it, on the condition
+//! that the leader's record, the cell's, the link's and, where room is given away, every block's
+//! are unchanged. What other cells tell is only ever a reason to try; a rule rests on none of it.
+//! Blocks are allowed what the cell's record says, in commits that are conditional on it.
+
+use super::team_limits::LimitsWanted;
+use super::*;
+use crate::peer::TeamCount;
+use crate::settings::CellsFile;
+use log::{debug, info, warn};
+use salttrestle_cells::ledger::{CellRecord, LinkRecord, Refusal};
+use salttrestle_cells::message::{LinkMessage, Recall};
+use salttrestle_cells::sharing::{TeamView, called_back, gifts, needs};
+use salttrestle_cells::{Amount, Cell};
+
+/// Between two messages to another cell while nothing changes, in seconds.
+const SAY_S: f64 = 0.5;
+/// And while something does.
+const SAY_CHANGED_S: f64 = 0.1;
+/// Between two accounts in the log, in seconds.
+const TELL_S: f64 = 30.0;
+/// A cell that hasn't been heard for so long is named as cut off, in seconds.
+const CUT_OFF_S: f64 = 5.0;
+/// What a cell needs or calls back is believed for so long, in seconds: no room is given for a need
+/// of long ago, and no block is held back for a recall that may be over.
+const BELIEVED_S: f64 = 10.0;
+
+/// What this controller knows of the other cells.
+#[derive(Debug, Default)]
+pub(crate) struct CellSharing {
+    /// The last message of each cell, and when it came.
+    heard: BTreeMap<Cell, (LinkMessage, Time)>,
+    /// A change is being committed.
+    busy: bool,
+    /// The next change is made once everything up to this revision is known here.
+    after: u64,
+    /// What was told last, and when something is told next.
+    said: BTreeMap<Cell, LinkMessage>,
+    say_at: Time,
+    tell_at: Time,
+    /// Messages that were dropped, since they are of or for an unknown cell.
+    dropped: u64,
+    /// That the cells file is an old one was told.
+    old_file_told: bool,
+}
+
+/// One change of the cell's records.
+#[derive(Debug)]
+struct CellChange {
+    cell: Option<CellRecord>,
+    link: Option<(Cell, LinkRecord)>,
+    /// The blocks' records have to be unchanged.
+    on_blocks: bool,
+    why: String,
+}
+
+impl CellChange {
+    fn of_cell(cell: CellRecord, on_blocks: bool, why: String) -> Self {
+        Self {
+            cell: Some(cell),
+            link: None,
+            on_blocks,
+            why,
+        }
+    }
+}
+
+/// A block with what its holder counted under its present record.
+struct CountedBlock<'a> {
+    allowances: &'a LimitsByTeam,
+    teams: &'a [(String, TeamCount)],
+}
+
+impl Core {
+    /// Another cell's leader tells how things stand there.
+    pub(super) fn on_cell_message(&mut self, message: LinkMessage) {
+        let Some(file) = &self.settings.cells else {
+            return;
+        };
+        let known = message.to == file.here && file.others().any(|cell| *cell == message.from);
+        if !known {
+            self.cells.dropped += 1;
+            debug!(
+                "a message of cell {} to {} is dropped",
+                message.from, message.to
+            );
+            return;
+        }
+        let entry = (message.clone(), self.now);
+        self.cells.heard.insert(message.from, entry);
+    }
+
+    pub(super) fn cells_housekeeping(&mut self) {
+        let Some(file) = self.settings.cells.clone() else {
+            return;
+        };
+        if self.lead.is_none() || !self.grant_alive() || self.blind() {
+            return;
+        }
+        self.count_again();
+        self.say_to_cells(&file);
+        self.tell_of_cells(&file);
+        if self.cells.busy || self.cache.revision < self.cells.after {
+            return;
+        }
+        if let Some(change) = self.next_cell_change(&file) {
+            self.commit_cell_change(change);
+        }
+        // A share that has just come is for the blocks to use, and one that another cell needs is
+        // for them to leave.
+        self.lease_housekeeping();
+    }
+
+    /// Counts the blocks held here anew if their records have changed since. Counted only every
+    /// half second, they were out of date whenever allowances had just changed, and while demand
+    /// moved that was always: no room was given, and starts waited for 10 s.
+    fn count_again(&mut self) {
+        let current = |(block, holder): (&u32, &Holder)| {
+            let counts = self
+                .lead
+                .as_ref()
+                .and_then(|lead| lead.block_counts.get(block));
+            counts.is_some_and(|(c, _)| c.revision == holder.block_revision)
+        };
+        if !self.parked.iter().all(current) {
+            self.send_counts();
+        }
+    }
+
+    // ---- changes
+
+    fn next_cell_change(&mut self, file: &CellsFile) -> Option<CellChange> {
+        let Some(record) = self.cache.cell.rec.clone() else {
+            let record = CellRecord::found(&file.here, file.generation, &file.teams);
+            return Some(CellChange::of_cell(
+                record,
+                false,
+                "the first record".into(),
+            ));
+        };
+        match record.adopt(&file.here, file.generation, &file.teams) {
+            Ok(adopted) => {
+                let why = format!("generation {} of the cells file", file.generation);
+                return Some(CellChange::of_cell(adopted, false, why));
+            }
+            Err(Refusal::OldFile) if !self.cells.old_file_told => {
+                let (old, new) = (file.generation, record.generation);
+                warn!("the cells file has generation {old}, and {new} was taken in before");
+                self.cells.old_file_told = true;
+            }
+            Err(_) => {}
+        }
+        let transfer = self.transfer_change(&record);
+        transfer
+            .or_else(|| self.limit_change(&record, file))
+            .or_else(|| self.gift(&record, file))
+    }
+
+    /// A transfer that was told of is taken, or one that is known to be taken is forgotten.
+    fn transfer_change(&self, record: &CellRecord) -> Option<CellChange> {
+        for (from, (message, _)) in &self.cells.heard {
+            let link = self.cell_link(from);
+            if let Ok(forgotten) = link.forget(message.taken) {
+                return Some(CellChange {
+                    cell: None,
+                    link: Some((from.clone(), forgotten)),
+                    on_blocks: false,
+                    why: format!("{from} has taken transfer {}", message.taken),
+                });
+            }
+            let Some(transfer) = &message.transfer else {
+                continue;
+            };
+            if let Ok((cell, link)) = record.take(&link, transfer) {
+                return Some(CellChange {
+                    cell: Some(cell),
+                    link: Some((from.clone(), link)),
+                    on_blocks: false,
+                    why: format!("takes transfer {} of {from}", transfer.number),
+                });
+            }
+        }
+        None
+    }
+
+    /// A limit that is made here moves towards what the operators want.
+    fn limit_change(&self, record: &CellRecord, file: &CellsFile) -> Option<CellChange> {
+        let views = self.team_views(record, file);
+        for team in record.limits.keys() {
+            let wanted = self.limit_asked(record, team);
+            let view = views.as_ref().and_then(|views| views.get(team));
+            // While nobody has counted, all of the share may be in use.
+            let held = view.map_or(record.share(team), |view| view.held);
+            if let Ok(changed) = record.change_limit(team, wanted, held) {
+                let limit = changed.limits.get(team).copied().unwrap_or_default();
+                let why = format!("the limit of {team} is {:?}", limit.to_pair());
+                return Some(CellChange::of_cell(changed, true, why));
+            }
+        }
+        None
+    }
+
+    /// The limit that operators ask for, of a team at home here.
+    fn limit_asked(&self, record: &CellRecord, team: &str) -> Amount {
+        let asked = self
+            .limit_set(team)
+            .map(|(c, g)| Amount::rounded_down(c, g));
+        asked.unwrap_or_else(|| record.limits.get(team).copied().unwrap_or_default())
+    }
+
+    /// Room for a cell that needs it more, or for a home that calls it back.
+    fn gift(&self, record: &CellRecord, file: &CellsFile) -> Option<CellChange> {
+        let mut views = self.team_views(record, file)?;
+        // What the home calls back it doesn't give away itself.
+        let lowering = |team: &str| {
+            let limit = record.limits.get(team);
+            limit.is_some_and(|limit| !limit.beyond(self.limit_asked(record, team)).is_zero())
+        };
+        views.retain(|team, _| !lowering(team));
+        let messages = self
+            .believed_messages()
+            .map(|m| (m.from.clone(), m))
+            .collect();
+        for (to, amounts) in gifts(&views, &messages, file.cells.len()) {
+            let held = |team: &str| views.get(team).map_or(Amount::ZERO, |view| view.held);
+            let teams = amounts.len();
+            if let Ok((cell, link)) = record.give(&self.cell_link(&to), amounts, held) {
+                return Some(CellChange {
+                    cell: Some(cell),
+                    why: format!("gives room of {teams} teams to {to}"),
+                    link: Some((to, link)),
+                    on_blocks: true,
+                });
+            }
+        }
+        None
+    }
+
+    fn commit_cell_change(&mut self, change: CellChange) {
+        let mut when = vec![(Key::Leader, self.cache.leader.version())];
+        let mut writes = Vec::new();
+        when.push((Key::Cell, self.cache.cell.version()));
+        if let Some(cell) = change.cell {
+            writes.push(Write::put(Key::Cell, Record::Cell(Box::new(cell))));
+        }
+        if let Some((other, link)) = change.link {
+            let key = Key::CellLink(other.clone());
+            let slot = self.cache.cell_links.get(&other);
+            when.push((key.clone(), slot.map_or(0, jobs::Slot::version)));
+            writes.push(Write::put(key, Record::CellLink(link)));
+        }
+        if change.on_blocks {
+            let blocks = self.cache.blocks.iter();
+            when.extend(blocks.map(|(block, slot)| (Key::Block(*block), slot.version())));
+        }
+        debug!("cells: {}", change.why);
+        let op = StateOp::Commit { when, writes };
+        self.cells.busy = self
+            .state_call(op, Purpose::CellChange, Priority::First)
+            .is_ok();
+    }
+
+    /// Whatever came of it, the follow shows it, and the next look goes on from there.
+    pub(super) fn on_cell_changed(&mut self, reply: StateReply) {
+        self.cells.busy = false;
+        if let StateReply::Committed { revision } = reply {
+            self.cells.after = revision;
+        }
+    }
+
+    // ---- what is known
+
+    fn cell_link(&self, other: &Cell) -> LinkRecord {
+        let slot = self.cache.cell_links.get(other);
+        slot.and_then(|slot| slot.rec.clone()).unwrap_or_default()
+    }
+
+    fn believed_messages(&self) -> impl Iterator<Item = &LinkMessage> {
+        let recent = |at: &Time| self.now.since(*at) < BELIEVED_S;
+        let heard = self.cells.heard.values();
+        heard
+            .filter(move |(_, at)| recent(at))
+            .map(|(message, _)| message)
+    }
+
+    /// How much of a team's share here is called back: by its home or, at home, by the operators.
+    fn called_back_here(&self, record: &CellRecord, team: &str) -> Amount {
+        match record.limits.get(team) {
+            Some(limit) => limit.beyond(self.limit_asked(record, team)),
+            None => called_back(team, record.share(team), self.believed_messages()),
+        }
+    }
+
+    /// Each team as it stands in this cell, if every block's holder has counted under its present
+    /// record. What a block may use counts as held, and what it still uses beyond that.
+    fn team_views(
+        &self,
+        record: &CellRecord,
+        file: &CellsFile,
+    ) -> Option<BTreeMap<String, TeamView>> {
+        let counts = self.current_counts()?;
+        let mut views = BTreeMap::new();
+        for (team, share) in &record.shares {
+            let mut view = TeamView {
+                share: *share,
+                floor: file.floors.get(team).copied().unwrap_or_default(),
+                ..TeamView::default()
+            };
+            for block in &counts {
+                let found = block.teams.iter().find(|(name, _)| name == team);
+                let count = found.map(|(_, count)| *count).unwrap_or_default();
+                let allowed = block.allowances.get(team).copied().unwrap_or_default();
+                let allowed = Amount::rounded_up(allowed.0, allowed.1);
+                let used = Amount::rounded_up(count.cpus, count.gpus);
+                let wanted = Amount::rounded_up(count.cpus_wanted, count.gpus_wanted);
+                view.held = view.held.plus(allowed.most(used));
+                view.used = view.used.plus(used);
+                view.wanted = view.wanted.plus(wanted);
+            }
+            views.insert(team.clone(), view);
+        }
+        Some(views)
+    }
+
+    /// Each block's allowances with its holder's counts under them.
+    fn current_counts(&self) -> Option<Vec<CountedBlock<'_>>> {
+        let believed = self.believed();
+        let blocks = self.cache.blocks.iter();
+        let counts = blocks.map(|(block, slot)| {
+            let allowances = slot.rec.as_ref()?.allowances.as_ref()?;
+            let mut current = believed.iter();
+            let found = current.find(|c| c.block == *block && c.revision == slot.revision)?;
+            Some(CountedBlock {
+                allowances,
+                teams: &found.teams,
+            })
+        });
+        counts.collect()
+    }
+
+    /// What the blocks of this cell together are to allow: its share of each team, less what is
+    /// called back, and of what is left no more than the cell would like to have, so that the
+    /// rest can be given away.
+    pub(super) fn cell_limits(&self, file: &CellsFile) -> LimitsWanted {
+        let Some(record) = &self.cache.cell.rec else {
+            return LimitsWanted::Set(LimitsByTeam::new());
+        };
+        let views = self.team_views(record, file);
+        let limits = record.shares.iter().map(|(team, share)| {
+            let kept = share.beyond(self.called_back_here(record, team));
+            let view = views.as_ref().and_then(|views| views.get(team));
+            let allowed = match view {
+                Some(view) => kept.least(self.allowed_of(team, view)),
+                None => kept.least(self.allowed_now(team)),
+            };
+            (team.clone(), allowed.to_pair())
+        });
+        LimitsWanted::Set(limits.collect())
+    }
+
+    /// What is promised to the blocks: what they would like, or all that nobody else needs.
+    fn allowed_of(&self, team: &str, view: &TeamView) -> Amount {
+        let needs = self.believed_messages().flat_map(|m| &m.needs);
+        let needed = needs.filter(|need| need.team == team);
+        let most = needed.fold(Amount::ZERO, |most, need| most.most(need.more));
+        let free = view.share.beyond(view.target());
+        view.share.beyond(free.least(most))
+    }
+
+    /// What the blocks allow now.
+    fn allowed_now(&self, team: &str) -> Amount {
+        let records = self
+            .cache
+            .blocks
+            .values()
+            .filter_map(|slot| slot.rec.as_ref());
+        let allowances = records.filter_map(|rec| rec.allowances.as_ref()?.get(team));
+        allowances.fold(Amount::ZERO, |sum, (c, g)| {
+            sum.plus(Amount::rounded_down(*c, *g))
+        })
+    }
+
+    // ---- messages
+
+    fn say_to_cells(&mut self, file: &CellsFile) {
+        let Some(record) = self
+            .cache
+            .cell
+            .rec
+            .as_ref()
+            .filter(|_| self.now >= self.cells.say_at)
+        else {
+            return;
+        };
+        let views = self.team_views(record, file);
+        let mut changed = false;
+        let mut messages = Vec::new();
+        for to in file.others() {
+            let message = self.message_to(to, record, views.as_ref(), file);
+            changed |= self.cells.said.get(to) != Some(&message);
+            messages.push((to.clone(), message));
+        }
+        let pause = if changed { SAY_CHANGED_S } else { SAY_S };
+        self.cells.say_at = self.now.after(pause);
+        for (to, message) in messages {
+            self.out.push(Output::Cell(to.clone(), message.clone()));
+            self.cells.said.insert(to, message);
+        }
+    }
+
+    fn message_to(
+        &self,
+        to: &Cell,
+        record: &CellRecord,
+        views: Option<&BTreeMap<String, TeamView>>,
+        file: &CellsFile,
+    ) -> LinkMessage {
+        let link = self.cell_link(to);
+        let recalls = record.limits.iter().map(|(team, limit)| Recall {
+            team: team.clone(),
+            amount: limit.beyond(self.limit_asked(record, team)),
+        });
+        LinkMessage {
+            from: file.here.clone(),
+            to: to.clone(),
+            generation: file.generation,
+            taken: link.taken,
+            transfer: link.pending,
+            needs: views.map(needs).unwrap_or_default(),
+            recalls: recalls.filter(|r| !r.amount.is_zero()).collect(),
+        }
+    }
+
+    /// Tells an operator from time to time how the shares stand.
+    fn tell_of_cells(&mut self, file: &CellsFile) {
+        if self.now < self.cells.tell_at {
+            return;
+        }
+        self.cells.tell_at = self.now.after(TELL_S);
+        let Some(record) = &self.cache.cell.rec else {
+            return;
+        };
+        for cell in file.others() {
+            let age = self
+                .cells
+                .heard
+                .get(cell)
+                .map(|(_, at)| self.now.since(*at));
+            let pending = self.cell_link(cell).pending.map_or(0, |t| t.amounts.len());
+            match age.filter(|age| *age < CUT_OFF_S) {
+                Some(age) => info!("cell {cell}: heard {age:.1} s ago, {pending} teams in transit"),
+                None => warn!("cell {cell}: cut off, {pending} teams in transit"),
+            }
+        }
+        let revision = self.cache.cell.revision;
+        let dropped = self.cells.dropped;
+        info!(
+            "cell {}: shares of revision {revision}, {dropped} messages dropped",
+            file.here
+        );
+        let views = self.team_views(record, file).unwrap_or_default();
+        for (team, view) in &views {
+            let ((cpus, gpus), used) = (view.share.to_pair(), view.used.to_pair());
+            debug!("team {team}: share {cpus} CPUs, {gpus} GPUs, {used:?} in use");
+        }
+        for (team, limit) in &record.limits {
+            let asked = self.limit_asked(record, team);
+            if asked != *limit {
+                let (limit, asked) = (limit.to_pair(), asked.to_pair());
+                warn!("team {team}: limit {limit:?} in force, {asked:?} asked for");
+            }
+        }
+    }
+}
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -235,7 +235,8 @@
         let fresh = !self.parked.contains_key(&block);
         if fresh {
             info!("holds block {block} under number {}", rec.number.0);
-            let holder = Holder::new(block, rec.number, self.now);
+            let shares_limits = self.settings.cells.is_some();
+            let holder = Holder::new(block, rec.number, self.now, shares_limits);
             self.parked.insert(block, holder);
         }
         self.share_budgets();
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -43,6 +43,8 @@
     pub(crate) mute_at: BTreeMap<Option<Member>, Time>,
     /// What teams with a limit may use here; `None` for their whole limit.
     pub(crate) allowances: Option<BTreeMap<String, (f64, f64)>>,
+    /// Whether the limits are shared with other cells.
+    pub(crate) shares_limits: bool,
     pub(crate) count: u64,
     pub jobs: BTreeMap<JobId, JobState>,
     pub machines: Fleet,
@@ -78,7 +80,7 @@
 }
 
 impl Holder {
-    pub fn new(block: u32, number: Number, now: Time) -> Self {
+    pub fn new(block: u32, number: Number, now: Time, shares_limits: bool) -> Self {
         Self {
             block,
             number,
@@ -89,6 +91,7 @@
             zones_cut_at: None,
             mute_at: BTreeMap::new(),
             allowances: None,
+            shares_limits,
             count: 0,
             jobs: BTreeMap::new(),
             machines: Fleet::default(),
@@ -128,6 +131,10 @@
         self.block_revision = revision;
         self.whole = rec.machines.is_none();
         self.allowances = rec.allowances.clone();
+        if self.shares_limits {
+            // Until the block's record says what it may use, it may use nothing.
+            self.allowances.get_or_insert_default();
+        }
         self.place_wanted = true;
         let Some(list) = &rec.machines else {
             return;
--- a/src/core/jobs.rs
+++ b/src/core/jobs.rs
@@ -5,6 +5,8 @@
 use crate::core::records::*;
 use crate::ids::*;
 use crate::wire::Change;
+use salttrestle_cells::Cell;
+use salttrestle_cells::ledger::{CellRecord, LinkRecord};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -74,6 +76,8 @@
     pub number: Slot<NumberRec>,
     pub plan: Slot<PlanRec>,
     pub limits: Slot<LimitsRec>,
+    pub cell: Slot<CellRecord>,
+    pub cell_links: BTreeMap<Cell, Slot<LinkRecord>>,
     pub blocks: BTreeMap<u32, Slot<BlockRec>>,
     pub jobs: BTreeMap<JobId, CachedJob>,
     pub runs: BTreeMap<(JobId, u32), (u64, RunRec)>,
@@ -92,6 +96,11 @@
             (Key::Number, Some(Record::Number(r))) => control(self.number.set(revision, Some(r))),
             (Key::Plan, Some(Record::Plan(r))) => control(self.plan.set(revision, Some(r))),
             (Key::Limits, Some(Record::Limits(r))) => control(self.limits.set(revision, Some(r))),
+            (Key::Cell, Some(Record::Cell(r))) => control(self.cell.set(revision, Some(*r))),
+            (Key::CellLink(other), Some(Record::CellLink(r))) => {
+                let slot = self.cell_links.entry(other).or_default();
+                control(slot.set(revision, Some(r)))
+            }
             (Key::Limits, None) => control(self.limits.set(revision, None)),
             (Key::Block(k), Some(Record::Block(r))) => {
                 control(self.blocks.entry(k).or_default().set(revision, Some(r)))
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod blocks;
 pub mod budget;
 mod calls;
+mod cells;
 mod change_meter;
 pub mod chunks;
 pub mod dependencies;
@@ -37,6 +38,8 @@
 use holder::Holder;
 use jobs::{Cache, Event};
 use records::*;
+use salttrestle_cells::Cell;
+use salttrestle_cells::message::LinkMessage;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A request that waits for its answer.
@@ -64,6 +67,8 @@
     State(CallId, StateReply),
     Cloud(CallId, CloudReply),
     Peer(Message),
+    /// Another cell's leader tells how things stand there.
+    Cell(LinkMessage),
     /// What became of this controller's own connection to a sibling.
     Link(Member, Link),
     /// Time has passed.
@@ -113,6 +118,8 @@
     Cloud(CallId, CloudOp),
     /// To one sibling, or to all.
     Peer(Option<Member>, Message),
+    /// To the leader of another cell.
+    Cell(Cell, LinkMessage),
 }
 
 /// What this controller has used of its shares of the limits, in all, and what of it
@@ -175,6 +182,7 @@
     Plan,
     Lease,
     Release,
+    CellChange,
 }
 
 pub(crate) struct Call {
@@ -258,6 +266,7 @@
     fresh_waiting: VecDeque<FreshRead>,
     need_reads: needs::NeedReads,
     team_limits: team_limits::TeamLimits,
+    cells: cells::CellSharing,
     heard_at: Time,
     front: front::Front,
     election: election::Election,
@@ -320,6 +329,7 @@
             fresh_waiting: VecDeque::new(),
             need_reads: needs::NeedReads::default(),
             team_limits: team_limits::TeamLimits::default(),
+            cells: cells::CellSharing::default(),
             heard_at: Time(0),
             front: front::Front::default(),
             election: election::Election::default(),
@@ -359,6 +369,7 @@
             Input::Peer(Message::BlockCounts(block_counts)) => self.on_block_counts(*block_counts),
             Input::Peer(Message::RelayedReport(relayed)) => self.on_relayed_report(*relayed),
             Input::Peer(Message::RelayedAnswer(answer)) => self.on_relayed_answer(answer),
+            Input::Cell(message) => self.on_cell_message(message),
             Input::Link(member, link) => self.on_link(member, link),
             Input::Tick => {}
         }
@@ -455,6 +466,7 @@
         self.relay_housekeeping();
         self.each_block(Self::holder_housekeeping);
         self.catalog_housekeeping();
+        self.cells_housekeeping();
         self.lead_housekeeping();
         if self.change_meter.advance(self.now) {
             self.share_budgets();
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -3,6 +3,8 @@
 
 use crate::core::chunks::ranges;
 use crate::ids::{Attempt, Image, JobId, MachineId, Member, Number};
+use salttrestle_cells::Cell;
+use salttrestle_cells::ledger::{CellRecord, LinkRecord};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -22,6 +24,10 @@
     Block(u32),
     /// Team limits that operators set at run time.
     Limits,
+    /// What this cell may use of limits that it shares with others.
+    Cell,
+    /// What passes between this cell and another one.
+    CellLink(Cell),
     Job(JobId),
     Run(JobId, u32),
     End(JobId),
@@ -36,7 +42,11 @@
             ("own", "number") => Some(Self::Number),
             ("own", "plan") => Some(Self::Plan),
             ("own", "limits") => Some(Self::Limits),
-            ("own", other) => other.strip_prefix("block/")?.parse().ok().map(Self::Block),
+            ("own", "cell") => Some(Self::Cell),
+            ("own", other) => match other.strip_prefix("link/") {
+                Some(cell) => Some(Self::CellLink(cell.into())),
+                None => other.strip_prefix("block/")?.parse().ok().map(Self::Block),
+            },
             ("job", id) => JobId::parse(id).map(Self::Job),
             ("end", id) => JobId::parse(id).map(Self::End),
             ("run", rest) => {
@@ -55,6 +65,8 @@
             Self::Number => write!(f, "{PREFIX}own/number"),
             Self::Plan => write!(f, "{PREFIX}own/plan"),
             Self::Limits => write!(f, "{PREFIX}own/limits"),
+            Self::Cell => write!(f, "{PREFIX}own/cell"),
+            Self::CellLink(cell) => write!(f, "{PREFIX}own/link/{cell}"),
             Self::Block(k) => write!(f, "{PREFIX}own/block/{k}"),
             Self::Job(id) => write!(f, "{PREFIX}job/{id}"),
             Self::Run(id, chunk) => write!(f, "{PREFIX}run/{id}/{chunk}"),
@@ -360,6 +372,8 @@
     Plan(PlanRec),
     Block(BlockRec),
     Limits(LimitsRec),
+    Cell(Box<CellRecord>),
+    CellLink(LinkRecord),
     Job(Box<JobRec>),
     Run(RunRec),
     End(Ending),
--- a/src/core/team_limits.rs
+++ b/src/core/team_limits.rs
@@ -77,6 +77,9 @@
 
     /// What the blocks together are to allow.
     pub(super) fn limits_wanted(&self) -> LimitsWanted {
+        if let Some(file) = &self.settings.cells {
+            return self.cell_limits(file);
+        }
         match &self.team_limits.good {
             Some(set) => {
                 let mut limits = self.limits_of_settings();
@@ -90,10 +93,14 @@
 
     /// The limit by which a job of a team is accepted or refused.
     pub(super) fn team_limit(&self, team: &Team) -> (f64, f64) {
-        let set = self.team_limits.good.as_ref();
-        let set = set.and_then(|limits| limits.get(&team.name).copied());
+        let set = self.limit_set(&team.name);
         set.unwrap_or((team.cpus_max, team.gpus_max))
     }
+
+    /// The limit that operators have set for a team at run time.
+    pub(super) fn limit_set(&self, team: &str) -> Option<(f64, f64)> {
+        self.team_limits.good.as_ref()?.get(team).copied()
+    }
 }
 
 /// Whether limits are of teams that there are, and of amounts that can be limits. Whether a team
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,10 @@
     /// Operators' settings that override the embedded defaults.
     #[arg(long, value_name = "FILE")]
     properties: Option<PathBuf>,
-    /// Check both files and exit.
+    /// The cells that share team limits with this one.
+    #[arg(long, value_name = "FILE")]
+    cells: Option<PathBuf>,
+    /// Check all files and exit.
     #[arg(long)]
     check: bool,
 }
@@ -26,7 +29,11 @@
     env_logger::Builder::from_env(filter)
         .format_target(false)
         .init();
-    let settings = match Settings::load(&args.config, args.properties.as_deref()) {
+    let settings = match Settings::load(
+        &args.config,
+        args.properties.as_deref(),
+        args.cells.as_deref(),
+    ) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("salttrestle: {error}");
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -10,6 +10,7 @@
 use log::{debug, warn};
 use polling::{Event, PollMode};
 use socket2::{Domain, Socket, Type};
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 
@@ -21,6 +22,7 @@
 /// Most bytes that wait to be written to one connection.
 const OUT_MAX: usize = 1 << 20;
 const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
+const CELL_OUT_MAX: usize = 2 * salttrestle_cells::message::MESSAGE_MAX;
 /// Quiet connections are closed after this time, or sooner when sockets are short.
 const IDLE_S: f64 = 90.0;
 /// Answers from the state service have no size limit; a follow that brings more than
@@ -28,7 +30,15 @@
 pub(super) const ANSWER_MAX: usize = 8 << 20;
 /// A whole request has to come within this time.
 const REQUEST_S: f64 = 10.0;
-pub(super) const FIRST_CONN: usize = 2;
+pub(super) const FIRST_CONN: usize = 3;
+
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Inbound {
+    UsersAndWorkers,
+    Siblings,
+    Cells,
+}
 
 pub(super) enum Role {
     Server {
@@ -51,6 +61,14 @@
         /// Whether the connection stands.
         made: bool,
     },
+    /// A controller of another cell tells how things stand there.
+    CellIn {
+        buf: Vec<u8>,
+    },
+    /// To a controller of another cell.
+    CellOut {
+        to: SocketAddrV4,
+    },
 }
 
 pub(super) struct Conn {
@@ -66,15 +84,18 @@
 }
 
 impl Net {
-    pub(super) fn accept(&mut self, peer: bool) {
+    pub(super) fn accept(&mut self, from: Inbound) {
         loop {
-            let listener = if peer {
-                &self.peer_listener
-            } else {
-                &self.listener
+            let listener = match from {
+                Inbound::UsersAndWorkers => Some(&self.listener),
+                Inbound::Siblings => Some(&self.peer_listener),
+                Inbound::Cells => self.cell_listener.as_ref(),
+            };
+            let Some(listener) = listener else {
+                return;
             };
             match listener.accept() {
-                Ok((stream, _)) => self.accepted(stream, peer),
+                Ok((stream, _)) => self.accepted(stream, from),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => {
@@ -86,19 +107,19 @@
         }
     }
 
-    pub(super) fn accepted(&mut self, stream: TcpStream, peer: bool) {
+    pub(super) fn accepted(&mut self, stream: TcpStream, from: Inbound) {
         if self.inbound >= self.room() && !self.shed() {
             return;
         }
-        let role = if peer {
-            Role::PeerIn { buf: Vec::new() }
-        } else {
-            Role::Server {
+        let role = match from {
+            Inbound::Siblings => Role::PeerIn { buf: Vec::new() },
+            Inbound::Cells => Role::CellIn { buf: Vec::new() },
+            Inbound::UsersAndWorkers => Role::Server {
                 decoder: Decoder::new(Side::Request, wire::BODY_MAX),
                 pending: None,
                 close: false,
                 worker: false,
-            }
+            },
         };
         if stream.set_nonblocking(true).is_ok() && self.add(stream, role).is_some() {
             self.inbound += 1;
@@ -108,7 +129,13 @@
     /// Sockets for those who connect.
     pub(super) fn room(&self) -> usize {
         let all = self.settings.platform.facts.resources.max_sockets;
-        all.saturating_sub(OUTGOING_SOCKETS).max(8)
+        let cells = self
+            .settings
+            .cells
+            .iter()
+            .flat_map(|file| file.cells.values());
+        let to_cells: usize = cells.map(BTreeMap::len).sum();
+        all.saturating_sub(OUTGOING_SOCKETS + to_cells).max(8)
     }
 
     /// Closes the user connection that has been quiet for longest, to make room.
@@ -175,7 +202,10 @@
                     self.inputs.push_back(Input::Disconnect(req));
                 }
             }
-            Role::PeerIn { .. } => self.inbound -= 1,
+            Role::PeerIn { .. } | Role::CellIn { .. } => self.inbound -= 1,
+            Role::CellOut { to } => {
+                self.cell_links.remove(to);
+            }
             Role::Client {
                 service,
                 decoder,
@@ -239,8 +269,12 @@
                     all.extend_from_slice(&buf[..n]);
                     self.hellos(key)
                 }
-                // Siblings only listen on this one.
-                Role::PeerOut { .. } => true,
+                Role::CellIn { buf: all } => {
+                    all.extend_from_slice(&buf[..n]);
+                    self.cell_messages(key)
+                }
+                // The other side only listens on these.
+                Role::PeerOut { .. } | Role::CellOut { .. } => true,
             };
             if !good {
                 return self.close(key);
@@ -258,6 +292,7 @@
         };
         let most = match conn.role {
             Role::PeerOut { .. } => PEER_OUT_MAX,
+            Role::CellOut { .. } => CELL_OUT_MAX,
             _ => OUT_MAX,
         };
         if conn.out.len() + bytes.len() > most {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! inputs and carries out its outputs.
 
 mod calls;
+mod cells;
 mod connections;
 mod peers;
 mod requests;
@@ -12,7 +13,7 @@
 use crate::peer;
 use crate::settings::Settings;
 use calls::{Op, Outgoing, Service};
-use connections::{Conn, FIRST_CONN};
+use connections::{Conn, FIRST_CONN, Inbound};
 use log::{info, warn};
 use polling::{Event, Events, PollMode, Poller};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -22,6 +23,7 @@
 
 const LISTEN: usize = 0;
 const PEER_LISTEN: usize = 1;
+const CELL_LISTEN: usize = 2;
 
 /// The clock starts late, so that the moment 0 lies long ago.
 const CLOCK_START_MS: u64 = 10_000_000;
@@ -34,6 +36,8 @@
     poller: Poller,
     listener: TcpListener,
     peer_listener: TcpListener,
+    /// For other cells, if limits are shared with any.
+    cell_listener: Option<TcpListener>,
     settings: Settings,
     core: Core,
     started: Instant,
@@ -49,6 +53,9 @@
     queued: HashMap<Service, VecDeque<CallId>>,
     peers: HashMap<Member, usize>,
     peer_retry: HashMap<Member, Time>,
+    /// Connections to controllers of other cells, and when the next may be begun.
+    cell_links: HashMap<SocketAddrV4, usize>,
+    cell_retry: HashMap<SocketAddrV4, Time>,
     inputs: VecDeque<Input>,
     sweep_at: Time,
     inbound: usize,
@@ -62,6 +69,12 @@
     let poller = Poller::new()?;
     let listener = listen(&poller, settings.platform.listen, LISTEN)?;
     let peer_listener = listen(&poller, settings.platform.peer_listen, PEER_LISTEN)?;
+    let cells = settings.cells.as_ref();
+    let cell_address = cells.and_then(|file| file.listen(&settings.platform.member));
+    let cell_listener = match cell_address {
+        Some(address) => Some(listen(&poller, address, CELL_LISTEN)?),
+        None => None,
+    };
     allow_files(settings.platform.facts.resources.max_sockets);
     info!(
         "salttrestle {} as {} on {}",
@@ -73,6 +86,7 @@
         poller,
         listener,
         peer_listener,
+        cell_listener,
         core: Core::new(settings.clone(), boot),
         settings,
         started: Instant::now(),
@@ -87,6 +101,8 @@
         queued: HashMap::new(),
         peers: HashMap::new(),
         peer_retry: HashMap::new(),
+        cell_links: HashMap::new(),
+        cell_retry: HashMap::new(),
         inputs: VecDeque::new(),
         sweep_at: Time(0),
         inbound: 0,
@@ -136,8 +152,9 @@
             }
             for event in events.iter() {
                 match event.key {
-                    LISTEN => self.accept(false),
-                    PEER_LISTEN => self.accept(true),
+                    LISTEN => self.accept(Inbound::UsersAndWorkers),
+                    PEER_LISTEN => self.accept(Inbound::Siblings),
+                    CELL_LISTEN => self.accept(Inbound::Cells),
                     key => self.ready(key, event, &mut buf),
                 }
             }
@@ -174,6 +191,7 @@
                 Output::State(call, op) => self.start_call(call, Op::State(op)),
                 Output::Cloud(call, op) => self.start_call(call, Op::Cloud(op)),
                 Output::Forget(call) => self.end_call(call),
+                Output::Cell(to, message) => self.tell_cell(&to, &message),
                 Output::Peer(to, message) => match peer::frame(&message) {
                     Ok(bytes) => self.say(to.as_ref(), &bytes),
                     // Whoever waits for it does without, as if it had been lost.
--- /dev/null
+++ b/src/settings/cells.rs
@@ -0,0 +1,217 @@
+//! The cells that share team limits, as Java-style properties: the same file for all cells but for
+//! `cells.here`.
+
+use super::{Platform, SettingsError, Team, bad};
+use crate::ids::Member;
+use salttrestle_cells::ledger::HomeTeam;
+use salttrestle_cells::{Amount, Cell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+
+/// Longest name of a cell: it is part of a key.
+const NAME_MAX: usize = 32;
+/// Most cells, and most teams with a limit: messages and records stay small.
+const CELLS_MAX: usize = 16;
+const TEAMS_MAX: usize = 256;
+
+/// The cells, where their controllers listen for each other, and the homes of teams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellsFile {
+    /// `cells.generation`: rises with every change of the file.
+    pub generation: u64,
+    /// `cells.here`: the cell that this controller belongs to.
+    pub here: Cell,
+    /// `cell.CELL.MEMBER`: where each cell's controllers listen for other cells.
+    pub cells: BTreeMap<Cell, BTreeMap<Member, SocketAddrV4>>,
+    /// `team.TEAM.home` and `team.TEAM.since`: the cell that makes a team's limit, and the
+    /// generation with which the team came.
+    pub teams: BTreeMap<String, HomeTeam>,
+    /// `team.TEAM.floor`: CPUs and GPUs that stay in each cell for urgent work while links are
+    /// cut.
+    pub floors: BTreeMap<String, Amount>,
+}
+
+/// The properties of one file, of which each is taken once.
+struct Table<'a> {
+    file: &'a str,
+    values: HashMap<String, String>,
+}
+
+impl Table<'_> {
+    fn text(&mut self, key: &str) -> Result<String, SettingsError> {
+        let found = self.values.remove(key);
+        let text = found.ok_or_else(|| bad(self.file, key, "is missing"))?;
+        Ok(text.trim().to_string())
+    }
+
+    fn generation(&mut self, key: &str, default: Option<u64>) -> Result<u64, SettingsError> {
+        if let (Some(default), false) = (default, self.values.contains_key(key)) {
+            return Ok(default);
+        }
+        let text = self.text(key)?;
+        let number = text.parse().ok().filter(|n| *n > 0);
+        number.ok_or_else(|| bad(self.file, key, format!("'{text}' is no generation")))
+    }
+
+    /// The keys `PREFIX.NAME.LAST` with what stands for the name.
+    fn names(&self, prefix: &str, last: &str) -> Vec<String> {
+        let keys = self.values.keys();
+        let names = keys.filter_map(|key| key.strip_prefix(prefix)?.strip_suffix(last));
+        let mut names: Vec<String> = names.map(String::from).collect();
+        names.sort();
+        names
+    }
+}
+
+impl CellsFile {
+    /// Reads a cells file and checks it against the platform's settings.
+    pub fn parse(text: &str, file: &str, platform: &Platform) -> Result<Self, SettingsError> {
+        let values = java_properties::read(text.as_bytes())
+            .map_err(|e| bad(file, "(file)", e.to_string()))?;
+        let mut table = Table { file, values };
+        let generation = table.generation("cells.generation", None)?;
+        let here = table.text("cells.here")?;
+        let cells = read_cells(&mut table)?;
+        let teams = read_teams(&mut table, generation, platform, &cells)?;
+        let floors = read_floors(&mut table, &teams, cells.len())?;
+        if let Some(key) = table.values.keys().min() {
+            return Err(bad(file, key, "unknown key"));
+        }
+        let it = Self {
+            generation,
+            here,
+            cells,
+            teams,
+            floors,
+        };
+        it.check_here(file, platform)?;
+        Ok(it)
+    }
+
+    fn check_here(&self, file: &str, platform: &Platform) -> Result<(), SettingsError> {
+        let Some(members) = self.cells.get(&self.here) else {
+            let reason = format!("there is no cell {}", self.here);
+            return Err(bad(file, "cells.here", reason));
+        };
+        let siblings = platform.siblings.iter().map(|s| &s.member);
+        for member in siblings.chain([&platform.member]) {
+            if !members.contains_key(member) {
+                let key = format!("cell.{}.{member}", self.here);
+                return Err(bad(file, &key, "is missing"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Where this controller listens for other cells.
+    pub fn listen(&self, member: &Member) -> Option<SocketAddrV4> {
+        self.cells.get(&self.here)?.get(member).copied()
+    }
+
+    /// The other cells.
+    pub fn others(&self) -> impl Iterator<Item = &Cell> {
+        self.cells.keys().filter(|cell| **cell != self.here)
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    !text.is_empty() && text.len() <= NAME_MAX && text.bytes().all(plain)
+}
+
+fn read_cells(
+    table: &mut Table,
+) -> Result<BTreeMap<Cell, BTreeMap<Member, SocketAddrV4>>, SettingsError> {
+    let mut cells: BTreeMap<Cell, BTreeMap<Member, SocketAddrV4>> = BTreeMap::new();
+    for name in table.names("cell.", "") {
+        let key = format!("cell.{name}");
+        let text = table.text(&key)?;
+        let Some((cell, member)) = name.split_once('.').filter(|(cell, _)| is_name(cell)) else {
+            return Err(bad(table.file, &key, "isn't cell.CELL.MEMBER"));
+        };
+        let address = text.parse();
+        let address = address.map_err(|_| bad(table.file, &key, format!("'{text}' is no address")));
+        let members = cells.entry(cell.to_string()).or_default();
+        members.insert(Member::from(member), address?);
+    }
+    match cells.len() {
+        2..=CELLS_MAX => Ok(cells),
+        _ => Err(bad(
+            table.file,
+            "cell",
+            format!("there must be 2 to {CELLS_MAX} cells"),
+        )),
+    }
+}
+
+fn read_teams(
+    table: &mut Table,
+    generation: u64,
+    platform: &Platform,
+    cells: &BTreeMap<Cell, BTreeMap<Member, SocketAddrV4>>,
+) -> Result<BTreeMap<String, HomeTeam>, SettingsError> {
+    let limited = |t: &&Team| t.cpus_max > 0.0 || t.gpus_max > 0.0;
+    let limited: Vec<&Team> = platform.facts.teams.iter().filter(limited).collect();
+    if limited.len() > TEAMS_MAX {
+        let reason = format!("at most {TEAMS_MAX} teams may have limits");
+        return Err(bad(table.file, "team", reason));
+    }
+    for name in table.names("team.", ".home") {
+        if !limited.iter().any(|t| t.name == name) {
+            let key = format!("team.{name}.home");
+            return Err(bad(table.file, &key, "no team of this name has a limit"));
+        }
+    }
+    let mut teams = BTreeMap::new();
+    for team in limited {
+        let key = format!("team.{}.home", team.name);
+        let home = table.text(&key)?;
+        if !cells.contains_key(&home) {
+            return Err(bad(table.file, &key, format!("there is no cell {home}")));
+        }
+        let key = format!("team.{}.since", team.name);
+        let since = table.generation(&key, Some(1))?;
+        if since > generation {
+            return Err(bad(table.file, &key, "lies after cells.generation"));
+        }
+        let limit = Amount::rounded_down(team.cpus_max, team.gpus_max);
+        teams.insert(team.name.clone(), HomeTeam { home, since, limit });
+    }
+    Ok(teams)
+}
+
+fn read_floors(
+    table: &mut Table,
+    teams: &BTreeMap<String, HomeTeam>,
+    cells: usize,
+) -> Result<BTreeMap<String, Amount>, SettingsError> {
+    let mut floors = BTreeMap::new();
+    for name in table.names("team.", ".floor") {
+        let key = format!("team.{name}.floor");
+        let text = table.text(&key)?;
+        let amounts: Vec<f64> = text.split(' ').filter_map(|t| t.parse().ok()).collect();
+        let good = |amount: &f64| amount.is_finite() && *amount >= 0.0;
+        let [cpus, gpus] = amounts[..] else {
+            return Err(bad(
+                table.file,
+                &key,
+                format!("'{text}' isn't CPUs and GPUs"),
+            ));
+        };
+        let Some(team) = teams.get(&name).filter(|_| good(&cpus) && good(&gpus)) else {
+            return Err(bad(
+                table.file,
+                &key,
+                "is of no team with a limit, or no amount",
+            ));
+        };
+        let floor = Amount::rounded_up(cpus, gpus);
+        let all = (0..cells).fold(Amount::ZERO, |sum, _| sum.plus(floor));
+        if !all.beyond(team.limit).is_zero() {
+            let reason = format!("in {cells} cells that is more than the team's limit");
+            return Err(bad(table.file, &key, reason));
+        }
+        floors.insert(name, floor);
+    }
+    Ok(floors)
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,11 +5,13 @@
 
 #![warn(missing_docs)]
 
+mod cells;
 mod derived;
 mod platform;
 mod state_limits;
 mod tuning;
 
+pub use cells::CellsFile;
 pub use platform::{
     CloudLimits, Facts, Objective, Platform, Resources, Services, Sibling, Team, Workers,
 };
@@ -46,11 +48,17 @@
     pub platform: Platform,
     /// From the operators.
     pub tuning: Tuning,
+    /// The cells that share team limits with this one, if there are any.
+    pub cells: Option<CellsFile>,
 }
 
 impl Settings {
-    /// Reads and checks both files.
-    pub fn load(config: &Path, properties: Option<&Path>) -> Result<Self, SettingsError> {
+    /// Reads and checks all files.
+    pub fn load(
+        config: &Path,
+        properties: Option<&Path>,
+        cells: Option<&Path>,
+    ) -> Result<Self, SettingsError> {
         let name = config.display().to_string();
         let text = read(config, &name)?;
         let platform = Platform::parse(&text, &name)?;
@@ -61,7 +69,18 @@
                 Tuning::parse(Some((&name, &read(path, &name)?)))?
             }
         };
-        Ok(Self { platform, tuning })
+        let cells = match cells {
+            None => None,
+            Some(path) => {
+                let name = path.display().to_string();
+                Some(CellsFile::parse(&read(path, &name)?, &name, &platform)?)
+            }
+        };
+        Ok(Self {
+            platform,
+            tuning,
+            cells,
+        })
     }
 }
 
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -140,6 +140,8 @@
             teams: teams.clone(),
         }),
         Record::Limits(LimitsRec::Unreadable(_)) => Ok(Value::Null),
+        Record::Cell(r) => Value::serialized(r),
+        Record::CellLink(r) => Value::serialized(r),
         Record::Job(r) => Value::serialized(r),
         Record::Run(r) => Value::serialized(r),
         Record::End(r) => Value::serialized(r),
@@ -154,6 +156,8 @@
         Key::Number => data.deserialized().ok().map(Record::Number),
         Key::Plan => data.deserialized().ok().map(Record::Plan),
         Key::Block(_) => data.deserialized().ok().map(Record::Block),
+        Key::Cell => data.deserialized().ok().map(|r| Record::Cell(Box::new(r))),
+        Key::CellLink(_) => data.deserialized().ok().map(Record::CellLink),
         // Operators write it: what can't be read has to be seen, and told.
         Key::Limits => Some(Record::Limits(read_limits(&data))),
         Key::Job(_) => data.deserialized().ok().map(|r| Record::Job(Box::new(r))),
--- a/standins/src/checker.rs
+++ b/standins/src/checker.rs
@@ -384,9 +384,13 @@
 
     /// Whether the team of a task that has just started uses more than its limit.
     fn check_quota(&mut self, now: u64, task: &TaskId) {
-        let Some(team) = self.jobs.get(&task.job).map(|j| &j.rec.team) else {
-            return;
-        };
+        let team = self.jobs.get(&task.job).map(|j| j.rec.team.clone());
+        if let Some(team) = team {
+            self.check_team(now, &team);
+        }
+    }
+
+    fn check_team(&mut self, now: u64, team: &str) {
         let used = self.used.get(team).copied().unwrap_or_default();
         let most = self.limits.get(team).copied().unwrap_or_default();
         let over = |used: f64, most: f64| most > 0.0 && used > most + SLACK;
@@ -396,6 +400,13 @@
         }
     }
 
+    /// A team's limit in force is another from now on: what its tasks use must be within it.
+    pub fn set_limit(&mut self, now: u64, team: &str, limit: (f64, f64)) {
+        if self.limits.insert(team.into(), limit) != Some(limit) {
+            self.check_team(now, team);
+        }
+    }
+
     /// Tasks of cancelled jobs that are still somewhere after the bound.
     pub fn check_cancelled(&mut self, now: u64) {
         let late = self.cancelled.iter().find(|id| {
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -3,7 +3,7 @@
 use ciborium::{Value, cbor};
 use salttrestle::http::{Decoder, HttpError, Side};
 use salttrestle::peer;
-use salttrestle::settings::{Platform, Tuning};
+use salttrestle::settings::{CellsFile, Platform, Tuning};
 use salttrestle::wire;
 
 /// What a request's bytes come to: the body's size, an error, or not yet whole.
@@ -479,6 +479,7 @@
         salttrestle::settings::Settings {
             platform: Platform::parse(&text, "f.json").expect("good"),
             tuning: Tuning::parse(None).expect("good"),
+            cells: None,
         }
     };
     let usual = settings("0.1", "500");
@@ -554,3 +555,63 @@
     let json = serde_json::to_vec(&rec(Some(many.collect()))).expect("JSON");
     assert!(json.len() < 8 * 1024, "{} bytes", json.len());
 }
+
+const CELLS: &str = "cells.generation = 3\ncells.here = north\n\
+    cell.north.n0 = 127.0.0.1:6\ncell.north.n1 = 127.0.0.1:7\ncell.south.s0 = 127.0.0.2:6\n\
+    team.t.home = south\nteam.t.since = 2\nteam.t.floor = 0 2\n";
+
+#[test]
+fn cells_errors_name_file_key_and_reason() {
+    let platform = Platform::parse(PLATFORM, "f.json").expect("good settings");
+    let read = |text: &str| CellsFile::parse(text, "cells.properties", &platform);
+    let good = read(CELLS).expect("a good file");
+    assert_eq!(good.others().collect::<Vec<_>>(), ["south"]);
+    assert_eq!(good.teams["t"].limit, salttrestle_cells::Amount(0, 4000));
+    let rows = [
+        ("generation = 3", "generation = 0", "cells.generation"),
+        ("generation = 3", "generation = new", "cells.generation"),
+        ("cells.generation = 3\n", "", "cells.generation"),
+        ("cells.here = north", "cells.here = east", "cells.here"),
+        ("cell.north.n1", "cell.north.n2", "cell.north.n1"),
+        ("cell.south.s0", "cell.South.s0", "cell.South.s0"),
+        ("cell.south.s0", "cell.south", "cell.south"),
+        ("127.0.0.2:6", "somewhere", "cell.south.s0"),
+        ("cell.south.s0 = 127.0.0.2:6\n", "", "cell"),
+        ("team.t.home = south\n", "", "team.t.home"),
+        ("home = south", "home = east", "team.t.home"),
+        ("team.t.home", "team.u.home", "team.u.home"),
+        ("since = 2", "since = 4", "team.t.since"),
+        ("floor = 0 2", "floor = 2", "team.t.floor"),
+        ("floor = 0 2", "floor = 0 -2", "team.t.floor"),
+        // In both cells together that is more than the team's limit of 4.
+        ("floor = 0 2", "floor = 0 3", "team.t.floor"),
+        ("team.t.floor", "team.t.flour", "team.t.flour"),
+        ("team.t.floor", "team.u.floor", "team.u.floor"),
+    ];
+    for (from, to, key) in rows {
+        let text = CELLS.replacen(from, to, 1);
+        assert_ne!(text, CELLS, "{from} isn't in the file");
+        let error = read(&text).expect_err(to);
+        assert_eq!(
+            (error.file.as_str(), error.key.as_str()),
+            ("cells.properties", key),
+            "{error}"
+        );
+        assert!(!error.reason.is_empty());
+    }
+}
+
+/// The example names five cells, each with all that a file needs.
+#[test]
+fn the_example_of_five_cells_is_good() {
+    let text = include_str!("../deploy/cells.properties");
+    let team = |name: &str| format!("{{\"name\":\"{name}\",\"gpus_max\":40,\"cpus_max\":400}}");
+    let teams = [team("booking-desk"), team("heritage-guides")].join(",");
+    let platform = PLATFORM
+        .replace("{\"name\":\"t\",\"gpus_max\":4}", &teams)
+        .replace("\"n0\"", "\"north-0\"")
+        .replace("\"n1\"", "\"north-1\"");
+    let platform = Platform::parse(&platform, "f.json").expect("good settings");
+    let file = CellsFile::parse(text, "cells.properties", &platform).expect("a good file");
+    assert_eq!(file.cells.len(), 5);
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -354,7 +354,7 @@
 
 type Breaks = fn(&mut Checker);
 
-const CHECKER_TESTS: [(&str, Breaks); 17] = [
+const CHECKER_TESTS: [(&str, Breaks); 18] = [
     ("ran_twice", |c| {
         c.starts(1, &task(0), place("m1", "a"));
         c.starts(2, &task(0), place("m2", "b"));
@@ -364,6 +364,16 @@
             c.starts(1, &task(n), place("m1", zone));
         }
     }),
+    ("quota: t uses 0 CPUs, 2 GPUs", |c| {
+        for task in &mut [task(0), task(1)] {
+            c.jobs.get_mut(&task.job).expect("submitted").rec.need.cpus = 0.0;
+            c.starts(1, task, place("m1", "a"));
+        }
+        assert!(c.broken.is_empty(), "two are allowed");
+        c.set_limit(2, "t", (0.0, 3.0));
+        assert!(c.broken.is_empty(), "three are");
+        c.set_limit(3, "t", (0.0, 1.0));
+    }),
     ("wrong_place", |c| {
         for n in 0..3 {
             c.starts(1, &task(n), place("m1", "a"));
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -458,7 +458,14 @@
         self.nodes[n].boot += 1;
         (self.nodes[n].woken_for, self.nodes[n].frozen_until) = (u64::MAX, 0);
         let boot = self.nodes[n].boot * 10 + n as u64;
-        self.nodes[n].core = Some(Core::new(Settings { platform, tuning }, boot));
+        self.nodes[n].core = Some(Core::new(
+            Settings {
+                platform,
+                tuning,
+                cells: None,
+            },
+            boot,
+        ));
         self.feed(n, Input::Tick);
     }
 
@@ -529,6 +536,10 @@
                 self.after(6000, Ev::Node(n, boot, none));
                 self.cross(n, Far::Cloud, 50, Ev::Cloud(n, boot, call, op));
             }
+            Output::Cell(to, _) => {
+                let what = format!("a message to cell {to}, though no limits are shared");
+                self.checker.broken.push(what);
+            }
             Output::Peer(to, message) => {
                 for m in 0..self.nodes.len() {
                     let other = self.nodes[m].boot;
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -296,3 +296,35 @@
         );
     }
 }
+
+/// What a cell that shares limits writes; cells of several versions never read each other's.
+#[test]
+fn records_of_shared_limits() {
+    use salttrestle_cells::Amount;
+    use salttrestle_cells::ledger::{CellRecord, LinkRecord, Transfer};
+    let cell = CellRecord {
+        generation: 2,
+        shares: [("vision".into(), Amount(64_000, 2_500))].into(),
+        limits: [("vision".into(), Amount(128_000, 8_000))].into(),
+    };
+    check_record(&cell, CELL);
+    let link = LinkRecord {
+        sent: 7,
+        pending: None,
+        taken: 3,
+    };
+    check_record(&link, LINK);
+    let pending = Transfer {
+        number: 7,
+        amounts: vec![("vision".into(), Amount(1_000, 0))],
+    };
+    let link = LinkRecord {
+        pending: Some(pending),
+        ..link
+    };
+    check_record(&link, LINK_PENDING);
+}
+
+const CELL: &str = "a36a67656e65726174696f6e0266736861726573a166766973696f6e8219fa001909c4666c696d697473a166766973696f6e821a0001f400191f40";
+const LINK: &str = "a26473656e74076574616b656e03";
+const LINK_PENDING: &str = "a36473656e74076770656e64696e67a2666e756d6265720767616d6f756e7473818266766973696f6e821903e8006574616b656e03";
