Shares move sooner: room for growth, a home's recall in parts, the poorest first

Cause: a lowered limit was called back in full from every cell, which stopped its team's starts; a cell asked for an eighth more than it used, so growing demand waited for one transfer after another; and transfers were filled by team name, so the last of 120 teams waited as long as the first ones needed a little more.

Change: each cell's part of a recall; half as much again where nobody lacks room, an eighth where somebody does; those that have least of what they need go first (who_has_nothing_is_given_to_first, seen to fail), 32 teams a transfer. Results list late urgent jobs.

Property tests and planted mistakes pass.

--- a/cells/src/amount.rs
+++ b/cells/src/amount.rs
@@ -83,6 +83,27 @@
         Self(of(self.0, least.0), of(self.1, least.1))
     }
 
+    /// As much of this as `part` is of `whole`, rounded up; nothing of what there is nothing of.
+    pub fn scaled_up(self, part: Amount, whole: Amount) -> Amount {
+        let of = |amount: u64, part: u64, whole: u64| {
+            let product = u128::from(amount) * u128::from(part);
+            match u128::from(whole) {
+                0 => 0,
+                whole => u64::try_from(product.div_ceil(whole)).unwrap_or(u64::MAX),
+            }
+        };
+        Self(of(self.0, part.0, whole.0), of(self.1, part.1, whole.1))
+    }
+
+    /// How many thousandths of a whole this is, of that of which it is more.
+    pub fn permille_of(self, whole: Amount) -> u64 {
+        let of = |amount: u64, whole: u64| match whole {
+            0 => 0,
+            whole => amount.saturating_mul(1000) / whole,
+        };
+        of(self.0, whole.0).max(of(self.1, whole.1))
+    }
+
     /// One of so many equal parts, rounded down.
     pub fn part(self, parts: usize) -> Amount {
         let parts = parts.max(1) as u64;
--- a/cells/src/ledger.rs
+++ b/cells/src/ledger.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 
 /// Most teams in one transfer: it is part of a record, which has to stay small.
-pub const TRANSFER_TEAMS_MAX: usize = 16;
+pub const TRANSFER_TEAMS_MAX: usize = 32;
 
 /// What a cell may use, and the limits that it makes itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/cells/src/message.rs
+++ b/cells/src/message.rs
@@ -41,6 +41,8 @@
     pub share: Amount,
     /// How much more it would like to have.
     pub more: Amount,
+    /// How much of that it lacks for what runs and waits.
+    pub lacking: Amount,
 }
 
 /// What a team's home calls back, since it lowers the team's limit.
@@ -50,6 +52,15 @@
     pub team: Team,
     /// How much is still to come back, in all.
     pub amount: Amount,
+    /// The limit in force, of which that is a part.
+    pub limit: Amount,
+}
+
+impl Recall {
+    /// The part of it that falls on a share: as much of the whole as the share is of the limit.
+    pub fn part_of(&self, share: Amount) -> Amount {
+        self.amount.scaled_up(share, self.limit).least(share)
+    }
 }
 
 /// Why a link is closed.
--- a/cells/src/sharing.rs
+++ b/cells/src/sharing.rs
@@ -4,13 +4,25 @@
 //! A cell that needs more of a team than its share says so, and cells with more than they need give
 //! ahead of demand. Where all need more, each keeps what it uses and no more than an even part of
 //! what there is; a floor stays home in any case. A team's home that lowers its limit calls back
-//! from all cells, and for that nothing but what is held stays.
+//! from each cell a part of its share, and for that nothing but what is held stays.
 
 use crate::ledger::TRANSFER_TEAMS_MAX;
 use crate::message::{LinkMessage, Need};
 use crate::{Amount, Cell, Team};
 use std::collections::BTreeMap;
 
+/// What all cells need, those first that have least of what they need: a transfer holds some teams
+/// only, and by name the last ones would wait for as long as the first need a little more.
+fn by_lack<'a>(messages: &'a BTreeMap<Cell, &LinkMessage>) -> Vec<(&'a Cell, &'a Need)> {
+    let needs = messages
+        .iter()
+        .flat_map(|(cell, message)| message.needs.iter().map(move |need| (cell, need)));
+    let mut needs: Vec<(&Cell, &Need)> = needs.collect();
+    let lack = |need: &Need| need.lacking.permille_of(need.share.plus(need.lacking));
+    needs.sort_by_key(|(_, need)| std::cmp::Reverse(lack(need)));
+    needs
+}
+
 /// Less than this part of an even share isn't worth a transfer: cells that all need more would
 /// pass ever smaller amounts to and fro.
 const WORTH_PARTS: usize = 16;
@@ -31,12 +43,26 @@
 }
 
 impl TeamView {
-    /// What this cell would like to have: what is wanted, an eighth more for what comes next, and
-    /// the floor.
-    pub fn target(&self) -> Amount {
+    /// What this cell keeps against one that lacks room: what is wanted, an eighth more, and the
+    /// floor.
+    fn required(&self) -> Amount {
         self.wanted.plus(self.wanted.part(8)).most(self.floor)
     }
 
+    /// What this cell would like to have: what is wanted, half as much again for what comes next,
+    /// and the floor. With an eighth, demand that grew waited for one transfer after another.
+    pub fn target(&self) -> Amount {
+        self.wanted.plus(self.wanted.part(2)).most(self.floor)
+    }
+
+    /// What the blocks here are to leave, so that it can be given to cells that would like so much
+    /// more and lack so much.
+    pub fn to_leave(&self, more: Amount, lacking: Amount) -> Amount {
+        let spare = self.share.beyond(self.target()).least(more);
+        let beyond_required = self.share.beyond(self.required()).least(lacking);
+        spare.most(beyond_required)
+    }
+
     /// How much more it would like to have.
     pub fn need(&self) -> Amount {
         self.target().beyond(self.share)
@@ -50,18 +76,21 @@
         team: team.clone(),
         share: view.share,
         more: view.need(),
+        lacking: view.required().beyond(view.share),
     });
     needs.collect()
 }
 
-/// How much of a team's share is called back in this cell: at most all of it.
+/// How much of a team's share is called back in this cell: its part of what is called back of the
+/// limit. Called back in full from every cell, a lowered limit stopped all starts of its team
+/// until the room was back where it was wanted.
 pub fn called_back<'a>(
     team: &str,
     share: Amount,
     messages: impl Iterator<Item = &'a LinkMessage>,
 ) -> Amount {
     let recalls = messages.flat_map(|m| &m.recalls).filter(|r| r.team == team);
-    recalls.fold(Amount::ZERO, |most, r| most.most(r.amount.least(share)))
+    recalls.fold(Amount::ZERO, |most, r| most.most(r.part_of(share)))
 }
 
 /// What to give to each cell now, of what isn't held. `cells` is how many there are.
@@ -84,26 +113,26 @@
             *left = left.beyond(amount);
         }
     };
-    // What is called back goes first, and all that isn't held goes.
+    // What is called back goes first.
     for (cell, message) in messages {
         for recall in &message.recalls {
-            if let Some((team, free)) = left.iter_mut().find(|(team, _)| ***team == recall.team) {
-                give(cell, team, recall.amount, free);
+            let found = left.iter_mut().find(|(team, _)| ***team == recall.team);
+            if let Some((team, free)) = found {
+                give(cell, team, recall.part_of(teams[*team].share), free);
             }
         }
     }
-    for (cell, message) in messages {
-        for need in &message.needs {
-            let Some(view) = teams.get(&need.team) else {
-                continue;
-            };
-            let Some((team, free)) = left.iter_mut().find(|(team, _)| ***team == need.team) else {
-                continue;
-            };
-            let spare = free.least(view.share.beyond(keeps(view, need, cells)));
+    for (cell, need) in by_lack(messages) {
+        let Some(view) = teams.get(&need.team) else {
+            continue;
+        };
+        if let Some(free) = left.get_mut(&need.team) {
+            let beyond = |target| free.least(view.share.beyond(keeps(view, target, need, cells)));
+            let lacking = beyond(view.required()).least(need.lacking);
+            let more = beyond(view.target()).least(need.more);
             let worth = even_part(view, need, cells).part(WORTH_PARTS);
-            let amount = spare.least(need.more).unless_below(worth);
-            give(cell, team, amount, free);
+            let amount = lacking.most(more).unless_below(worth);
+            give(cell, &need.team, amount, free);
         }
     }
     gifts.retain(|_, amounts| !amounts.is_empty());
@@ -115,11 +144,10 @@
     view.share.plus(need.share).part(cells.clamp(1, 2))
 }
 
-/// What this cell keeps of a team against another one's need: all that it would like to have or,
-/// while the other has less than an even part of what both have, no more than that part.
-fn keeps(view: &TeamView, need: &Need, cells: usize) -> Amount {
+/// What this cell keeps of a team against another one's need: all of its target or, while the other
+/// has less than an even part of what both have, no more than that part.
+fn keeps(view: &TeamView, target: Amount, need: &Need, cells: usize) -> Amount {
     let even = even_part(view, need, cells);
-    let target = view.target();
     let of = |target: u64, even: u64, theirs: u64| match theirs < even {
         true => target.min(even),
         false => target,
--- a/cells/tests/hard_cases.rs
+++ b/cells/tests/hard_cases.rs
@@ -446,3 +446,43 @@
     assert_eq!(changed(3, 0x19), Err(LinkError::Malformed));
     assert_eq!(changed(3, 0x1b), Ok(None));
 }
+
+/// More teams need room than one transfer holds: those that have least of what they need go first.
+/// By name, the last teams of 120 waited for as long as the first ones needed a little more.
+#[test]
+fn who_has_nothing_is_given_to_first() {
+    use salttrestle_cells::message::Need;
+    use salttrestle_cells::sharing::{TeamView, gifts};
+    let teams = (0..60).map(|n| {
+        let view = TeamView {
+            share: tasks_of(50),
+            ..TeamView::default()
+        };
+        (format!("team-{n:02}"), view)
+    });
+    let teams: BTreeMap<String, TeamView> = teams.collect();
+    let needs = teams.keys().map(|team| Need {
+        team: team.clone(),
+        share: if team == "team-59" {
+            Amount::ZERO
+        } else {
+            tasks_of(9)
+        },
+        more: tasks_of(2),
+        lacking: tasks_of(1),
+    });
+    let message = LinkMessage {
+        from: "east".into(),
+        to: "here".into(),
+        generation: 1,
+        taken: 0,
+        transfer: None,
+        needs: needs.collect(),
+        recalls: Vec::new(),
+    };
+    let messages = [("east".to_string(), &message)].into();
+    let given = gifts(&teams, &messages, 2);
+    let names: Vec<&String> = given["east"].iter().map(|(team, _)| team).collect();
+    assert_eq!(names.len(), salttrestle_cells::ledger::TRANSFER_TEAMS_MAX);
+    assert!(names.contains(&&"team-59".to_string()), "{names:?}");
+}
--- a/cells/tests/world/mod.rs
+++ b/cells/tests/world/mod.rs
@@ -263,6 +263,7 @@
         let recalls = view.cell.value.limits.iter().map(|(team, limit)| Recall {
             team: team.clone(),
             amount: limit.beyond(view.wanted.get(team).copied().unwrap_or(*limit)),
+            limit: *limit,
         });
         LinkMessage {
             from: self.names[at].clone(),
--- a/scale/src/results.rs
+++ b/scale/src/results.rs
@@ -27,6 +27,8 @@
     Hollow(HollowRow),
     /// How things stood at one second.
     Second(SecondRow),
+    /// A job that started late.
+    Late(LateRow),
 }
 
 /// The run as a whole.
@@ -189,6 +191,19 @@
     pub cores: f64,
 }
 
+/// A job that started later than its aim.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LateRow {
+    /// The job.
+    pub job: String,
+    /// Its team.
+    pub team: String,
+    /// When it was submitted, in seconds since the load began.
+    pub at_s: f64,
+    /// How long it waited, in seconds; nothing if it never started.
+    pub waited_s: Option<f64>,
+}
+
 /// How things stood at one second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SecondRow {
@@ -240,7 +255,7 @@
         let mut text = String::new();
         for row in &self.rows {
             let line = match row {
-                Row::Run(_) | Row::Second(_) => continue,
+                Row::Run(_) | Row::Second(_) | Row::Late(_) => continue,
                 Row::Process(p) => process_line(p),
                 Row::Link(l) => format!(
                     "{:<12} {:<8} {:>9.1} messages/s and {:>9.1} KB/s in, {:>9.1} and {:>9.1} out",
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -6,7 +6,7 @@
 use crate::link_proxy::{CutKind, LinkProxy};
 use crate::procfs::{CpuTime, process_cpu, process_files, process_memory_mb};
 use crate::results::{
-    HollowRow, LatencyRow, LinkRow, ProcessRow, Results, Row, RunRow, SecondRow, StateRow,
+    HollowRow, LateRow, LatencyRow, LinkRow, ProcessRow, Results, Row, RunRow, SecondRow, StateRow,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -110,6 +110,7 @@
     self_ended: Vec<String>,
     links: LinkProxy,
     rng: StdRng,
+    load_from_ms: u64,
 }
 
 /// Plays an experiment.
@@ -151,6 +152,7 @@
             self_ended: Vec::new(),
             links: LinkProxy::default(),
             rng: StdRng::seed_from_u64(experiment.seed),
+            load_from_ms: 0,
         };
         let all: Vec<CellAddresses> = experiment
             .cells
@@ -215,6 +217,7 @@
             let _ = cell.commands.send(Command::BeginLoad);
         }
         let began = Instant::now();
+        self.load_from_ms = self.shared.now_ms();
         let measure_from = phases.ramp_s + phases.warmup_s;
         let measure_to = measure_from + phases.measure_s;
         let mut troubles: Vec<&Trouble> = self.experiment.troubles.iter().collect();
@@ -480,6 +483,7 @@
                 started,
             )));
         }
+        rows.extend(self.late_rows(&checker));
         rows.extend(self.seconds.iter().cloned().map(Row::Second));
         drop(checker);
         if self.experiment.sharing.is_some() {
@@ -500,6 +504,27 @@
         Results { rows }
     }
 
+    /// The urgent jobs that started later than is aimed at.
+    fn late_rows(&self, checker: &Checker) -> Vec<Row> {
+        let Some(within_s) = self.experiment.aims.urgent_within_s else {
+            return Vec::new();
+        };
+        let seconds = |ms: u64| ms as f64 / 1000.0;
+        let urgent = checker.jobs.iter().filter(|(_, j)| {
+            let waited = j.first_start.map(|at| seconds(at - j.submitted_at));
+            j.rec.class == "urgent" && waited.is_none_or(|waited| waited > within_s)
+        });
+        let rows = urgent.map(|(id, j)| {
+            Row::Late(LateRow {
+                job: id.to_string(),
+                team: j.rec.team.clone(),
+                at_s: seconds(j.submitted_at.saturating_sub(self.load_from_ms)),
+                waited_s: j.first_start.map(|at| seconds(at - j.submitted_at)),
+            })
+        });
+        rows.collect()
+    }
+
     fn run_row(&self, from: &Mark, to: &Mark, window_s: f64) -> RunRow {
         let now = self.shared.now_ms();
         let last: Vec<CellSample> = self.cells.iter().filter_map(|c| c.sample().ok()).collect();
--- a/src/core/cells.rs
+++ b/src/core/cells.rs
@@ -287,11 +287,19 @@
     }
 
     /// How much of a team's share here is called back: by its home or, at home, by the operators.
-    fn called_back_here(&self, record: &CellRecord, team: &str) -> Amount {
-        match record.limits.get(team) {
-            Some(limit) => limit.beyond(self.limit_asked(record, team)),
-            None => called_back(team, record.share(team), self.believed_messages()),
-        }
+    /// A home leaves at once what it doesn't need itself.
+    fn called_back_here(&self, record: &CellRecord, team: &str, view: Option<&TeamView>) -> Amount {
+        let share = record.share(team);
+        let Some(limit) = record.limits.get(team) else {
+            return called_back(team, share, self.believed_messages());
+        };
+        let recall = Recall {
+            team: team.into(),
+            amount: limit.beyond(self.limit_asked(record, team)),
+            limit: *limit,
+        };
+        let unneeded = view.map_or(Amount::ZERO, |view| share.beyond(view.target()));
+        recall.part_of(share).most(recall.amount.least(unneeded))
     }
 
     /// Each team as it stands in this cell, if every block's holder has counted under its present
@@ -350,8 +358,8 @@
         };
         let views = self.team_views(record, file);
         let limits = record.shares.iter().map(|(team, share)| {
-            let kept = share.beyond(self.called_back_here(record, team));
             let view = views.as_ref().and_then(|views| views.get(team));
+            let kept = share.beyond(self.called_back_here(record, team, view));
             let allowed = match view {
                 Some(view) => kept.least(self.allowed_of(team, view)),
                 None => kept.least(self.allowed_now(team)),
@@ -365,9 +373,10 @@
     fn allowed_of(&self, team: &str, view: &TeamView) -> Amount {
         let needs = self.believed_messages().flat_map(|m| &m.needs);
         let needed = needs.filter(|need| need.team == team);
-        let most = needed.fold(Amount::ZERO, |most, need| most.most(need.more));
-        let free = view.share.beyond(view.target());
-        view.share.beyond(free.least(most))
+        let (more, lacking) = needed.fold((Amount::ZERO, Amount::ZERO), |(more, lacking), need| {
+            (more.most(need.more), lacking.most(need.lacking))
+        });
+        view.share.beyond(view.to_leave(more, lacking))
     }
 
     /// What the blocks allow now.
@@ -422,6 +431,7 @@
         let recalls = record.limits.iter().map(|(team, limit)| Recall {
             team: team.clone(),
             amount: limit.beyond(self.limit_asked(record, team)),
+            limit: *limit,
         });
         LinkMessage {
             from: file.here.clone(),
