--- a/src/core/front/cancellations.rs
+++ b/src/core/front/cancellations.rs
@@ -3,8 +3,8 @@
 use super::Question;
 use crate::core::budget::Priority;
 use crate::core::records::{Key, Record};
-use crate::core::{Core, Purpose, ReqId};
-use crate::ids::{JobId, MachineId};
+use crate::core::{Core, Purpose};
+use crate::ids::{JobId, MachineId, ReqId};
 use crate::wire::{StateOp, StateReply, Write};
 use log::info;
 use std::collections::BTreeSet;
--- a/src/core/front/questions.rs
+++ b/src/core/front/questions.rs
@@ -6,8 +6,8 @@
 use super::{Intent, Question};
 use crate::core::budget::Priority;
 use crate::core::records::{Ending, Key};
-use crate::core::{Core, Purpose, Reply, ReqId};
-use crate::ids::{JobId, Time};
+use crate::core::{Core, Purpose, Reply};
+use crate::ids::{JobId, ReqId, Time};
 use crate::wire::{Stance, StateOp, StateReply, error_body, stance_body};
 use std::collections::VecDeque;
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -42,14 +42,6 @@
 use salttrestle_cells::message::LinkMessage;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// A request that waits for its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ReqId(pub u64);
-
-/// A call to the state service or the cloud.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 #[derive(Debug)]
 pub enum Request {
     Submit(Result<(JobId, JobRec), BadBody>),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -112,6 +112,14 @@
     }
 }
 
+/// A request that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReqId(pub u64);
+
+/// A call to the state service or the cloud.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
 /// A moment on this process's steady clock, in milliseconds since its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Time(pub u64);
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -2,9 +2,9 @@
 
 use super::Net;
 use super::connections::{ANSWER_MAX, Conn, Role, open};
-use crate::core::{CallId, Input};
+use crate::core::Input;
 use crate::http::{self, Decoder, Message, Side};
-use crate::ids::Time;
+use crate::ids::{CallId, Time};
 use crate::wire::{self, Call, CloudOp, CloudReply, StateOp, StateReply};
 use log::debug;
 use std::net::SocketAddrV4;
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -3,9 +3,9 @@
 use super::Net;
 use super::calls::Service;
 use crate::core::Input;
-use crate::core::{CallId, Link, ReqId};
+use crate::core::Link;
 use crate::http::{Decoder, Side};
-use crate::ids::{Member, Time};
+use crate::ids::{CallId, Member, ReqId, Time};
 use crate::{peer, wire};
 use log::{debug, warn};
 use polling::{Event, PollMode};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,9 +7,9 @@
 mod peers;
 mod requests;
 
-use crate::core::{CallId, Core, Input, Output, ReqId};
+use crate::core::{Core, Input, Output};
 use crate::gauge::Gauge;
-use crate::ids::{Member, Time};
+use crate::ids::{CallId, Member, ReqId, Time};
 use crate::peer;
 use crate::settings::Settings;
 use calls::{Op, Outgoing, Service};
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -2,9 +2,9 @@
 
 use super::Net;
 use super::connections::{Conn, Role, WORKER_SHARE};
-use crate::core::{Input, Reply, ReqId, Request};
+use crate::core::{Input, Reply, Request};
 use crate::http::{self, Decoder, HttpError, Message, Side};
-use crate::ids::JobId;
+use crate::ids::{JobId, ReqId};
 use crate::wire;
 
 /// When a worker that was refused for want of sockets had better come back, in seconds.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,8 +1,7 @@
 //! What controllers tell each other: `postcard` behind a length and a version.
 //! Nothing a rule depends on travels here; it only makes the right thing come sooner.
 
-use crate::core::ReqId;
-use crate::ids::{Attempt, MachineId, Member, Number};
+use crate::ids::{Attempt, MachineId, Member, Number, ReqId};
 use crate::wire::{Cause, Num, Report, ReportTask, TaskStance};
 use serde::{Deserialize, Serialize};
 
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -2,6 +2,9 @@
 //! real cores; a checker looks at every rule after every step.
 
 mod limits;
+mod nodes;
+mod script;
+mod services;
 mod state;
 mod troubles;
 mod users;
--- /dev/null
+++ b/tests/sim/services.rs
@@ -0,0 +1,128 @@
+//! How the state service and the cloud are asked, and what becomes of their answers.
+
+use super::state::Waiter;
+use super::world::{Ev, Far, World};
+use salttrestle::core::Input;
+use salttrestle::ids::CallId;
+use salttrestle::wire::{CloudOp, StateOp, StateReply};
+
+impl World {
+    pub(super) fn state_executes(&mut self, n: usize, boot: u64, call: CallId, op: StateOp) {
+        let now = self.now;
+        let refused = self.nodes[n].refused_until > now || self.throttled();
+        let waits = matches!(op, StateOp::Follow { .. });
+        let reply = if refused && !waits {
+            Some(StateReply::Refused)
+        } else if refused {
+            None
+        } else {
+            self.state.execute(now, &op)
+        };
+        match reply {
+            None => {
+                let StateOp::Follow { after } = op else {
+                    return;
+                };
+                let until = now + 10_000;
+                let w = Waiter {
+                    node: n,
+                    boot,
+                    call,
+                    after,
+                    until,
+                };
+                self.state.waiters.push(w);
+                self.after(10_000, Ev::FollowEnd(n, boot, call));
+            }
+            Some(reply) => {
+                let carried_out = matches!(op, StateOp::Commit { .. })
+                    && matches!(reply, StateReply::Committed { .. });
+                let counted = carried_out && self.lose_commits > 0;
+                if counted || carried_out && self.strikes(|t| t.lost_answers) {
+                    self.lose_commits = self.lose_commits.saturating_sub(1);
+                    self.met.answers_lost += 1;
+                } else {
+                    let slow = if self.strikes(|t| t.slow_state) {
+                        400
+                    } else {
+                        0
+                    };
+                    let delay = 2 + self.random(slow);
+                    let input = Input::State(call, reply);
+                    self.cross(n, Far::State, delay, Ev::Node(n, boot, input));
+                }
+            }
+        }
+        self.wake_followers();
+    }
+
+    /// Whether the state service answers 429: more was asked of it this second than it takes.
+    pub(super) fn throttled(&mut self) -> bool {
+        let (most, until) = self.throttle;
+        let second = self.now / 1000;
+        if self.taken.0 != second {
+            self.taken = (second, 0);
+        }
+        self.taken.1 += 1;
+        self.now < until && self.taken.1 > most
+    }
+
+    pub fn wake_followers(&mut self) {
+        if self.state.outage {
+            return;
+        }
+        let waiters = std::mem::take(&mut self.state.waiters);
+        for w in waiters {
+            let open = self.nodes[w.node].refused_until <= self.now;
+            match self.state.news(w.after).filter(|_| open) {
+                Some(reply) => {
+                    let input = Input::State(w.call, reply);
+                    self.cross(w.node, Far::State, 2, Ev::Node(w.node, w.boot, input));
+                }
+                None => self.state.waiters.push(w),
+            }
+        }
+    }
+
+    pub(super) fn follow_end(&mut self, n: usize, boot: u64, call: CallId) {
+        let before = self.state.waiters.len();
+        let now = self.now;
+        self.state
+            .waiters
+            .retain(|w| !(w.node == n && w.boot == boot && w.call == call && w.until <= now));
+        // A watch whose time is over while its node is refused waits as in an outage: an
+        // empty answer would say that nothing has changed.
+        let waits = self.state.outage || self.nodes[n].refused_until > now;
+        if self.state.waiters.len() < before && !waits {
+            let reply = StateReply::News {
+                revision: self.state.store.revision,
+                news: Vec::new(),
+            };
+            let input = Input::State(call, reply);
+            self.cross(n, Far::State, 2, Ev::Node(n, boot, input));
+        }
+    }
+
+    pub(super) fn cloud_executes(&mut self, n: usize, boot: u64, call: CallId, op: CloudOp) {
+        let now = self.now;
+        let before = self.cloud.rigs.len();
+        let (reply, gone) = self.cloud.execute(now, &op);
+        for id in gone {
+            let tasks = self.workers.get(&id).map_or(0, |w| w.tasks.len());
+            self.deleted_tasks += tasks;
+            self.end_worker(&id);
+        }
+        let fresh: Vec<(String, u64)> = self
+            .cloud
+            .rigs
+            .iter()
+            .skip(before)
+            .filter_map(|(id, r)| Some((id.clone(), r.boots?)))
+            .collect();
+        for (id, at) in fresh {
+            self.at(at, Ev::Boot(id));
+        }
+        let input = Input::Cloud(call, reply);
+        self.cross(n, Far::Cloud, 50, Ev::Node(n, boot, input));
+    }
+}
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -1,8 +1,8 @@
 //! The state service, as PROTOCOL describes it.
 
-use salttrestle::core::CallId;
 use salttrestle::core::chunks::ChunkLayout;
 use salttrestle::core::records::{Key, PREFIX, Record};
+use salttrestle::ids::CallId;
 use salttrestle::settings::NextStateLimits;
 use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
 use salttrestle_standins::rate::RateLimit;
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -6,10 +6,9 @@
 //! and sends, but for [`RUN_PART`], which is newer.
 
 use ciborium::cbor;
-use salttrestle::core::ReqId;
 use salttrestle::core::chunks::{ChunkLayout, effective_runs};
 use salttrestle::core::records::*;
-use salttrestle::ids::{Attempt, Image, MachineId, Member, Number};
+use salttrestle::ids::{Attempt, Image, MachineId, Member, Number, ReqId};
 use salttrestle::peer::{
     self, BlockCounts, Hello, Message, PoolCount, RelayedAnswer, RelayedReport, TeamCount,
 };
