--- a/scale/src/capacity.rs
+++ b/scale/src/capacity.rs
@@ -5,6 +5,10 @@
 use crate::experiment::Experiment;
 use crate::results::{Row, RunRow};
 use crate::sweep::Axis;
+use salttrestle::http;
+use salttrestle::ids::{Attempt, JobId, Number, TaskId};
+use salttrestle::wire::commands_body;
+use salttrestle_standins::worker::{TaskState, Worker, WorkerTask};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -173,8 +177,8 @@
                 add(Metric::StateBytesOut, l.bytes_out);
             }
             Row::Link(l) if l.link == "worker" => {
-                add(Metric::ReportBytes, l.bytes_in);
-                add(Metric::AnswerBytes, l.bytes_out);
+                add(Metric::ReportBytes, l.bytes_out);
+                add(Metric::AnswerBytes, l.bytes_in);
             }
             Row::Hollow(h) => add(Metric::HollowCores, h.cores),
             _ => {}
@@ -298,6 +302,7 @@
         }
         text += "\n";
         text += &self.remarks();
+        text += &worker_lines();
         text
     }
 
@@ -349,6 +354,46 @@
     }
 }
 
+/// Bytes of a worker's report and of the answer to it, as they go onto the wire.
+fn worker_lines() -> String {
+    let mut text = String::from("\n| a worker with | report | quiet answer | in and out |\n");
+    text += "| --- | --- | --- | --- |\n";
+    for tasks in [0, 5, 96] {
+        let (report, answer) = worker_bytes(tasks);
+        let per_s = (report + answer) as f64 / REPORT_S;
+        let _ = writeln!(
+            text,
+            "| {tasks} tasks | {report} B | {answer} B | {per_s:.0} B/s |"
+        );
+    }
+    text
+}
+
+/// Workers report this often at the operators' size, in seconds.
+const REPORT_S: f64 = 3.0;
+/// Names as long as those that the cloud and users give.
+const MACHINE: &str = "i-004321";
+const ENDPOINT: &str = "10.1.12.232:9000";
+const CONTROLLER: &str = "10.1.0.10:8080";
+
+fn worker_bytes(tasks: u32) -> (usize, usize) {
+    let mut worker = Worker::new(0, "kithara-large", "attica", false, 0);
+    (worker.number, worker.seq) = (41, 28_800);
+    for index in 0..tasks {
+        let job = JobId::from("wk-004213");
+        let task = WorkerTask {
+            attempt: Attempt::new(Number(41), u64::from(index) + 100_000),
+            state: TaskState::Running,
+            until: 0,
+        };
+        worker.tasks.insert(TaskId { job, index }, task);
+    }
+    let body = worker.report_body(MACHINE, ENDPOINT, 0);
+    let report = http::request("POST", "/agent/beat", CONTROLLER, Some(&body));
+    let answer = http::response(200, None, false, &commands_body(Number(41), &[]));
+    (report.len(), answer.len())
+}
+
 type Target = (&'static str, &'static [(Axis, f64)]);
 
 /// What one of the operators' five cells carries: at the peak spread evenly, and with all of the
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -4,7 +4,7 @@
 use salttrestle_scale::capacity::{SlopeTable, with_computed};
 use salttrestle_scale::controllers::find_program;
 use salttrestle_scale::experiment::{EMBEDDED, Experiment};
-use salttrestle_scale::results::Results;
+use salttrestle_scale::results::{Results, Row};
 use salttrestle_scale::run::{Places, default_folder, play};
 use salttrestle_scale::sweep::Sweep;
 use std::error::Error;
@@ -32,6 +32,8 @@
     /// Play an experiment again and again with one count after another varied, and fit a line for
     /// each cost.
     Sweep(SweepArguments),
+    /// Fit the lines anew to the runs that a sweep left.
+    Fit(FitArguments),
     /// Check, or make anew, the part of the capacity page that follows from the lines.
     Capacity(CapacityArguments),
 }
@@ -53,6 +55,20 @@
     sources: String,
 }
 
+#[derive(clap::Args)]
+struct FitArguments {
+    /// The experiment that was varied (TOML).
+    experiment: PathBuf,
+    /// The runs (JSON lines).
+    runs: PathBuf,
+    /// What the sources are called in the table.
+    #[arg(long)]
+    sources: String,
+    /// Where the lines are written (JSON).
+    #[arg(long, value_name = "FILE")]
+    out: PathBuf,
+}
+
 #[derive(clap::Args)]
 struct CapacityArguments {
     /// The lines, as a sweep left them (JSON).
@@ -87,6 +103,7 @@
     {
         Action::Run(arguments) => run(&arguments),
         Action::Sweep(arguments) => sweep(&arguments),
+        Action::Fit(arguments) => fit(&arguments),
         Action::Capacity(arguments) => capacity(&arguments),
     };
     done.unwrap_or_else(|error| {
@@ -139,10 +156,22 @@
     let lines = Results { rows }.json_lines();
     std::fs::create_dir_all(&arguments.out)?;
     std::fs::write(arguments.out.join("runs.jsonl"), lines)?;
-    let slopes = arguments.out.join("slopes.json");
-    std::fs::write(&slopes, serde_json::to_string_pretty(&table)? + "\n")?;
+    write_lines(&table, &arguments.out.join("slopes.json"))
+}
+
+fn fit(arguments: &FitArguments) -> Result<ExitCode, Box<dyn Error>> {
+    let base = read_experiment(&arguments.experiment)?;
+    let text = read(&arguments.runs)?;
+    let rows = text.lines().map(serde_json::from_str);
+    let rows = rows.collect::<Result<Vec<Row>, _>>()?;
+    let table = SlopeTable::from_rows(&arguments.sources, &base, &rows);
+    write_lines(&table, &arguments.out)
+}
+
+fn write_lines(table: &SlopeTable, to: &Path) -> Result<ExitCode, Box<dyn Error>> {
+    std::fs::write(to, serde_json::to_string_pretty(table)? + "\n")?;
     println!("{}", table.page());
-    println!("lines: {}", slopes.display());
+    println!("lines: {}", to.display());
     Ok(ExitCode::SUCCESS)
 }
 
