--- a/src/core/autoscaler/tick.rs
+++ b/src/core/autoscaler/tick.rs
@@ -1,6 +1,6 @@
 //! The tick: from the blocks' counts to rentals and returns.
 
-use super::rentals::{Rental, RentalStep};
+use super::rentals::RentalStep;
 use super::{Pool, Zones};
 use crate::core::*;
 use crate::peer::PoolCount;
@@ -17,120 +17,80 @@
     asked: BTreeMap<Pool, u32>,
 }
 
-impl FleetCounts {
-    /// Machines of a pool that were asked for, without an answer yet.
-    fn asked_of(&self, pool: Pool) -> u32 {
-        self.asked.get(&pool).copied().unwrap_or(0)
-    }
-}
-
-/// What the blocks want of one pool together, in machines.
-#[derive(Default)]
-struct PoolDemand {
-    wanted: u32,
-    gap: u32,
-    provisioned: u32,
-}
-
 impl Core {
     pub(super) fn tick(&mut self) {
-        let Some(ready) = self.tick_due() else {
+        let now = self.now;
+        let Some(lead) = &mut self.lead else {
             return;
         };
-        self.send_counts();
-        let fleet = self.count_fleet();
-        if let Some(lead) = &mut self.lead {
-            lead.needs.clear();
-        }
-        for (pool, blocks) in &fleet.counts {
-            let demand = self.pool_demand(*pool, blocks);
-            self.rent_missing(*pool, &demand, &fleet);
-            // A new leader hasn't seen how high the count stood before its time.
-            if self.now.since(ready) >= self.window_s(*pool) {
-                self.return_surplus(*pool, &demand, &fleet);
-            }
-        }
-    }
-
-    /// Since when this leader has known enough to rent, if a tick is due.
-    fn tick_due(&mut self) -> Option<Time> {
-        let now = self.now;
-        let blocks = self.cache.blocks.len();
-        let lead = self.lead.as_mut()?;
         let s = &mut lead.scale;
-        let answered = |rental: &Rental| rental.step == RentalStep::Answered;
-        let unanswered = !s.rentals.iter().all(answered);
+        let unanswered = s
+            .rentals
+            .iter()
+            .any(|rental| rental.step != RentalStep::Answered);
+        let blocks = self.cache.blocks.len();
         if s.ready.is_none() && s.listed && !unanswered && lead.block_counts.len() >= blocks {
             s.ready = Some(now);
             s.tick_at = now;
             info!("counts are rebuilt");
         }
-        let ready = s.ready.filter(|_| now >= s.tick_at)?;
-        s.tick_at = now.after(self.settings.tuning.tick_s);
-        Some(ready)
-    }
-
-    /// How long a lower count of a pool has to hold before machines go back, in seconds.
-    fn window_s(&self, pool: Pool) -> f64 {
-        self.settings.tuning.window * self.catalog[pool.0].ready_s
-    }
-
-    /// What a pool's blocks want together, and what each of them lacks.
-    fn pool_demand(&mut self, pool: Pool, blocks: &BTreeMap<u32, PoolCount>) -> PoolDemand {
-        let (now, window_s, ceiling) = (self.now, self.window_s(pool), self.settings.ceiling());
-        let mut demand = PoolDemand::default();
-        let Some(lead) = &mut self.lead else {
-            return demand;
-        };
-        // A machine serves its own block only, so each block's gap is its own.
-        for (block, count) in blocks {
-            let wanted = count.wanted(ceiling);
-            debug!("pool {pool:?} of block {block}: {count:?}, wanted {wanted}");
-            let need = wanted.saturating_sub(count.provisioned);
-            demand.wanted += wanted;
-            demand.gap += need;
-            demand.provisioned += count.provisioned;
-            let name = self.catalog[pool.0].name.clone();
-            lead.needs.insert((name, pool.1, *block), need);
-        }
-        lead.scale.remember(pool, now, demand.wanted, window_s);
-        demand
-    }
-
-    /// Plans to rent what a pool lacks, below its ceiling and a few at a time.
-    fn rent_missing(&mut self, pool: Pool, demand: &PoolDemand, fleet: &FleetCounts) {
-        let (now, ceiling) = (self.now, self.settings.ceiling());
-        let wanted = demand.wanted;
-        if wanted >= ceiling {
-            warn!("pool {pool:?} wants {wanted} machines, as many as its ceiling allows");
-        }
-        // A machine in the wrong zone is no help to tasks that may not go there.
-        let pins = fleet.pins.iter().filter(|((p, _), _)| *p == pool);
-        let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
-        let room = ceiling.saturating_sub(demand.provisioned);
-        let gap = demand.gap.max(pins.values().sum()).min(room);
-        let gap = gap.saturating_sub(fleet.asked_of(pool));
-        let gap = gap.min(self.settings.rise(gap));
-        let Some(lead) = self.lead.as_mut().filter(|_| gap > 0) else {
+        let Some(ready) = lead.scale.ready.filter(|_| now >= lead.scale.tick_at) else {
             return;
         };
-        let zones = (&fleet.zones, &pins);
-        lead.scale
-            .rent(&self.catalog, pool, gap, zones, lead.number, now);
-    }
-
-    /// Plans to return empty machines beyond what a pool has wanted of late.
-    fn return_surplus(&mut self, pool: Pool, demand: &PoolDemand, fleet: &FleetCounts) {
+        lead.scale.tick_at = now.after(self.settings.tuning.tick_s);
+        self.send_counts();
+        let fleet = self.count_fleet();
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let keep = lead.scale.highest(pool).max(demand.wanted);
-        let there = demand.provisioned + fleet.asked_of(pool);
-        let surplus = there.saturating_sub(keep) as usize;
-        let idle = fleet.empty.get(&pool).into_iter().flatten();
-        let before = lead.scale.returns.len();
-        lead.scale.returns.extend(idle.take(surplus).cloned());
-        lead.scale.plan_dirty |= lead.scale.returns.len() > before;
+        lead.needs.clear();
+        let ceiling = self.settings.ceiling();
+        for (pool, blocks) in fleet.counts {
+            // A machine serves its own block only, so each block's gap is its own.
+            let (mut wanted, mut gap, mut provisioned) = (0, 0, 0);
+            for (block, count) in &blocks {
+                let w = count.wanted(ceiling);
+                debug!("pool {pool:?} of block {block}: {count:?}, wanted {w}");
+                let need = w.saturating_sub(count.provisioned);
+                (wanted, gap, provisioned) =
+                    (wanted + w, gap + need, provisioned + count.provisioned);
+                let name = self.catalog[pool.0].name.clone();
+                lead.needs.insert((name, pool.1, *block), need);
+            }
+            let window_s = self.settings.tuning.window * self.catalog[pool.0].ready_s;
+            lead.scale.remember(pool, now, wanted, window_s);
+            let room = ceiling.saturating_sub(provisioned);
+            if wanted >= ceiling {
+                warn!("pool {pool:?} wants {wanted} machines, as many as its ceiling allows");
+            }
+            let asked = fleet.asked.get(&pool).copied().unwrap_or(0);
+            // A machine in the wrong zone is no help to tasks that may not go there.
+            let pins = fleet.pins.iter().filter(|((p, _), _)| *p == pool);
+            let pins: BTreeMap<&String, u32> = pins.map(|((_, z), n)| (z, *n)).collect();
+            let gap = gap.max(pins.values().sum());
+            let gap = gap.min(room).saturating_sub(asked);
+            let gap = gap.min(self.settings.rise(gap));
+            if gap > 0 {
+                lead.scale.rent(
+                    &self.catalog,
+                    pool,
+                    gap,
+                    (&fleet.zones, &pins),
+                    lead.number,
+                    now,
+                );
+            }
+            // A new leader hasn't seen how high the count stood before its time.
+            if now.since(ready) < window_s {
+                continue;
+            }
+            let keep = lead.scale.highest(pool).max(wanted);
+            let surplus = (provisioned + asked).saturating_sub(keep) as usize;
+            let idle = fleet.empty.get(&pool).into_iter().flatten();
+            let before = lead.scale.returns.len();
+            lead.scale.returns.extend(idle.take(surplus).cloned());
+            lead.scale.plan_dirty |= lead.scale.returns.len() > before;
+        }
     }
 
     /// Adds up what the blocks' holders count.
--- a/src/core/placement/consolidation.rs
+++ b/src/core/placement/consolidation.rs
@@ -14,30 +14,17 @@
 impl Core {
     pub(crate) fn consolidate(&mut self) {
         let now = self.now;
-        let blind = self.blind();
-        let due = |h: &&mut Holder| !blind && now >= h.pack_at;
-        let Some(h) = self.holder.as_mut().filter(due) else {
+        if self.blind() {
             return;
-        };
-        h.pack_at = now.after(self.settings.tuning.tick_s);
-        let spare = self.close_spare_machines();
-        for (machine, tasks) in self.machines_to_empty(&spare) {
-            log::info!(
-                "machine {machine} is emptied: its {} tasks fit elsewhere",
-                tasks.len()
-            );
-            for task in tasks {
-                self.halt(&task);
-            }
         }
-    }
-
-    /// Machines that get nothing new from now on, since their work would fit elsewhere.
-    fn close_spare_machines(&mut self) -> BTreeSet<MachineId> {
-        let (now, headroom) = (self.now, self.settings.tuning.headroom);
+        let headroom = self.settings.tuning.headroom;
         let Some(h) = &mut self.holder else {
-            return BTreeSet::new();
+            return;
         };
+        if now < h.pack_at {
+            return;
+        }
+        h.pack_at = now.after(self.settings.tuning.tick_s);
         // While somebody waits for room, none is given up.
         let pressed = |id: &JobId| h.jobs.get(id).is_some_and(|l| l.rec.rank > Rank::Normal);
         let open = !h.cut && !h.waiting.iter().any(pressed);
@@ -52,20 +39,11 @@
         for id in changed {
             h.machines.edit(&id, |m| m.closing = !m.closing);
         }
-        spare
-    }
-
-    /// Those of the spare machines whose tasks all fit elsewhere at once, with these tasks.
-    fn machines_to_empty(&self, spare: &BTreeSet<MachineId>) -> Vec<(MachineId, Vec<TaskId>)> {
-        let now = self.now;
-        let (mut taken, mut moves) = (BTreeMap::new(), Vec::new());
-        let Some(h) = &self.holder else {
-            return moves;
-        };
         // One a tick never caught up with a fleet of hundreds that shrinks.
         let most = (h.machines.len() as f64 * MOVE_SHARE).ceil() as usize;
+        let (mut taken, mut moves) = (BTreeMap::new(), Vec::new());
         let mut standing = 0;
-        for id in spare {
+        for id in &spare {
             let Some(m) = h.machines.get(id).filter(|_| moves.len() < most) else {
                 break;
             };
@@ -83,7 +61,15 @@
                 moves.push((id.clone(), tasks));
             }
         }
-        moves
+        for (machine, tasks) in moves {
+            log::info!(
+                "machine {machine} is emptied: its {} tasks fit elsewhere",
+                tasks.len()
+            );
+            for task in tasks {
+                self.halt(&task);
+            }
+        }
     }
 }
 
