--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -251,10 +251,11 @@
                 next_sample += SAMPLE_S;
                 let open = self.second(at_s)?;
                 let over = at_s >= phases.total_s() || open == 0;
-                if let (Some(from), Some(to), true) =
-                    (from.take_if(|_| over && to.is_some()), &mut to, over)
+                if over
+                    && to.is_some()
+                    && let (Some(from), Some(to)) = (from.take(), to.take())
                 {
-                    return Ok((from, std::mem::replace(to, self.mark()?)));
+                    return Ok((from, to));
                 }
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -19,6 +19,7 @@
 pub use tuning::Tuning;
 
 use std::path::Path;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// A setting that ends the start: names file, key and reason in one line.
@@ -49,7 +50,7 @@
     /// From the operators.
     pub tuning: Tuning,
     /// The cells that share team limits with this one, if there are any.
-    pub cells: Option<CellsFile>,
+    pub cells: Option<Arc<CellsFile>>,
 }
 
 impl Settings {
@@ -73,7 +74,11 @@
             None => None,
             Some(path) => {
                 let name = path.display().to_string();
-                Some(CellsFile::parse(&read(path, &name)?, &name, &platform)?)
+                Some(Arc::new(CellsFile::parse(
+                    &read(path, &name)?,
+                    &name,
+                    &platform,
+                )?))
             }
         };
         Ok(Self {
