Standby: a majority that has lost the leader replaces it before its grant's end

Need: a takeover waits for what is left of a grant of 3 s, and a new holder knows neither which images lie where nor what its predecessor estimated. Package standby is a pure state machine: heartbeats of the leader, a failure detector, votes of a majority, a bound on changes a minute, a fence for calls to the cloud (which carry no condition), and hints that nothing but the order of placement rests on. The leader's record tells that its cloud calls rest on reads of it; the wait of a successor stands beside the highest number until it has written a plan. Frames have a version of their own, which earlier releases pass over, and nobody is replaced early before every sibling is known to run this release. A grant is given up only once no call to the cloud rests on it.

Stand-in duties judges who calls the cloud; the scenarios' links tell of ended processes.

--- a/src/core/autoscaler/machines.rs
+++ b/src/core/autoscaler/machines.rs
@@ -80,10 +80,11 @@
         }
     }
 
-    /// A deletion needs no lease: it can only cost a machine, and proves its tasks gone.
+    /// A deletion needs no lease: it can only cost a machine, and proves its tasks gone. Only a
+    /// leader that replaced another before its grant's end waits until that one deletes nothing.
     pub(crate) fn delete_doomed(&mut self) {
         let now = self.now;
-        if self.blind() {
+        if self.blind() || self.fenced() {
             return;
         }
         let Some(h) = &mut self.holder else {
--- a/src/core/autoscaler/mod.rs
+++ b/src/core/autoscaler/mod.rs
@@ -29,6 +29,13 @@
     List(Vec<Listed>),
 }
 
+impl CloudPurpose {
+    /// Whether the call rents or deletes machines.
+    pub(crate) fn changes(&self) -> bool {
+        matches!(self, Self::Rent(_) | Self::Delete(_))
+    }
+}
+
 /// Pause before a rental without an answer is repeated.
 const REPEAT_S: f64 = 2.0;
 /// Counts are told to the leader this often, as a share of its tick.
@@ -55,7 +62,7 @@
         if self.grant_alive() || several {
             self.list_machines();
         }
-        if !self.grant_alive() {
+        if !self.may_use_cloud() {
             return;
         }
         self.send_rentals();
--- a/src/core/autoscaler/rentals.rs
+++ b/src/core/autoscaler/rentals.rs
@@ -35,7 +35,7 @@
 impl Core {
     pub(super) fn send_rentals(&mut self) {
         let now = self.now;
-        let Some(lead) = &self.lead else {
+        let Some(lead) = self.lead.as_ref().filter(|_| self.may_use_cloud()) else {
             return;
         };
         let due: Vec<RentalRec> = lead
--- a/src/core/blocks.rs
+++ b/src/core/blocks.rs
@@ -45,6 +45,8 @@
     since: Time,
     /// This leadership's own number: no other one has it.
     pub(crate) number: Number,
+    /// From when it may rent and delete: before, a leader that it replaced might.
+    pub(crate) cloud_from: Time,
 }
 
 impl Core {
@@ -88,14 +90,12 @@
     }
 
     pub(crate) fn start_leading(&mut self) {
+        let rec = self.cache.leader.rec.as_ref();
+        let number = rec.map_or(Number(0), |l| l.number);
         self.lead = Some(Lead {
             since: self.now,
-            number: self
-                .cache
-                .leader
-                .rec
-                .as_ref()
-                .map_or(Number(0), |l| l.number),
+            number,
+            cloud_from: self.cloud_from(number),
             ..Lead::default()
         });
         self.share_budgets();
@@ -283,7 +283,8 @@
         }
         if highest > self.cache.highest() {
             when.push((Key::Number, self.cache.number.version()));
-            let rec = NumberRec { highest };
+            let fence = self.cache.number.rec.as_ref().and_then(|n| n.fence);
+            let rec = NumberRec { highest, fence };
             writes.push(Write::put(Key::Number, Record::Number(rec)));
         }
         let op = StateOp::Commit { when, writes };
--- a/src/core/election.rs
+++ b/src/core/election.rs
@@ -1,17 +1,35 @@
 //! Who leads. The leader's key hangs on a grant of a few seconds; whoever commits it
 //! next leads from then on, and takes over the blocks of those who are gone under
 //! higher numbers in the same commit.
+//!
+//! A leader that a majority has lost is replaced before its grant's end (package `standby`). The
+//! commit is conditional on its record, as any other; only calls to the cloud, which carry no
+//! condition, rest on the grant, and wait for as long as the old leader's may go out
+//! (`may_use_cloud`).
 
-use super::*;
+use super::holder::Holder;
+use super::records::{BlockRec, Key, LeaderRec, NumberRec, Record};
+use super::{BLIND_S, Core, DRIFT, Priority, Purpose, Reply, jobs};
+use crate::ids::{Number, Time};
+use crate::wire::{StateOp, StateReply, Write, commands_body};
 use log::{info, warn};
+use salttrestle_standby::fence::Predecessors;
 use std::collections::VecDeque;
 
+/// A grant got for standing.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    hold: u64,
+    /// When it was asked for.
+    asked: Time,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Election {
     /// The grant that the leader's key hangs on, while this controller leads.
     hold: Option<u64>,
-    /// Grants got for standing, the latest last, and when they were asked for.
-    grants: VecDeque<(u64, Time)>,
+    /// Grants got for standing, the latest last.
+    grants: VecDeque<Grant>,
     /// The revision at which this controller won. Until the follow shows it, standing
     /// again would only lose to itself.
     won: u64,
@@ -19,7 +37,7 @@
     renewed: Time,
     busy: bool,
     extend_at: Time,
-    /// Since when there has been no leader.
+    /// Since when there has been no leader, or it may be replaced.
     vacant: Option<Time>,
     /// Not standing before this.
     rest_until: Time,
@@ -29,25 +47,60 @@
 const STAND_GAP_S: f64 = 0.1;
 /// Share of a grant's life after which it is renewed.
 const RENEW: f64 = 0.3;
+/// A grant that was got beforehand is used to stand within this share of its life.
+const PREPARED: f64 = 0.3;
 /// Grants remembered: attempts that may still turn out to have won.
 const GRANTS_MAX: usize = 8;
 /// Rest after giving up leadership, in lives of a grant.
 const REST: f64 = 4.0;
+/// For late timers, on top of the time for which a predecessor may call the cloud, in seconds.
+const FENCE_MARGIN_S: f64 = 0.2;
 
 impl Core {
     pub(crate) fn election_housekeeping(&mut self) {
         if self.lead.is_some() {
             self.extend();
-        } else {
+        } else if !self.draining() {
             self.stand();
         }
     }
 
-    /// Whether the leader's grant surely lives. Calls to the cloud have no condition
-    /// that an outdated leader would fail, so they need this.
+    /// Whether the leader's grant surely lives, and it has read its own record as lately: whoever
+    /// replaced that record counts on both.
     pub(crate) fn grant_alive(&self) -> bool {
         let ttl = self.settings.tuning.grant_s;
-        self.lead.is_some() && self.now.since(self.election.renewed) < ttl
+        let renewed = self.now.since(self.election.renewed) < ttl;
+        self.lead.is_some() && renewed && self.blind_s() < ttl
+    }
+
+    /// Whether this leader may rent and delete. Calls to the cloud have no condition that an
+    /// outdated leader would fail.
+    pub(crate) fn may_use_cloud(&self) -> bool {
+        self.grant_alive() && !self.fenced()
+    }
+
+    /// Whether a leader before this one may still call the cloud.
+    pub(crate) fn fenced(&self) -> bool {
+        let lead = self.lead.as_ref();
+        lead.is_some_and(|lead| self.now < lead.cloud_from)
+    }
+
+    /// Within how long after a read of its own record a leader of this release calls the cloud.
+    fn fenced_ms(&self) -> u64 {
+        (self.settings.tuning.grant_s.max(BLIND_S) * 1000.0) as u64
+    }
+
+    /// From when a leader that has just been elected may call the cloud.
+    pub(crate) fn cloud_from(&self, number: Number) -> Time {
+        let rec = self.cache.number.rec.as_ref();
+        let fence = rec.and_then(|n| n.fence).filter(|f| f.number == number.0);
+        match fence {
+            None => self.now,
+            Some(fence) => {
+                let wait_s = fence.ms as f64 / 1000.0;
+                self.now.after(wait_s * (1.0 + DRIFT) + FENCE_MARGIN_S)
+            }
+        }
     }
 
     fn extend(&mut self) {
@@ -85,21 +138,53 @@
         self.cache.leader.rec.as_ref().is_some_and(leads)
     }
 
+    /// Whether the leader's record may be written: there is none, or its leader is lost.
+    fn open(&self) -> bool {
+        !self.taken() || self.may_replace_leader()
+    }
+
     fn stand(&mut self) {
-        let me = &self.settings.platform.member;
-        if self.taken() || self.blind() || self.election.busy {
+        if !self.open() || self.blind() || self.election.busy {
             self.election.vacant = None;
-            return;
+            return self.prepare();
         }
         if self.now < self.election.rest_until || self.cache.revision < self.election.won {
             return;
         }
         let vacant = *self.election.vacant.get_or_insert(self.now);
-        let names = self.settings.platform.siblings.iter().map(|s| &s.member);
-        let rank = names.filter(|m| *m < me).count();
-        if self.now.since(vacant) < STAND_GAP_S * rank as f64 {
+        if self.now.since(vacant) < STAND_GAP_S * self.rank() as f64 {
             return;
         }
+        match self.prepared() {
+            Some(grant) => self.commit_leadership(grant.hold),
+            None => self.ask_for_grant(),
+        }
+    }
+
+    /// How many others stand before this controller. A lost leader doesn't stand.
+    fn rank(&self) -> usize {
+        let me = &self.settings.platform.member;
+        let lost = self.cache.leader.rec.as_ref().map(|l| &l.member);
+        let names = self.settings.platform.siblings.iter().map(|s| &s.member);
+        names.filter(|m| *m < me && Some(*m) != lost).count()
+    }
+
+    /// Gets a grant as soon as the leader is suspected, so that only the commit is left when a
+    /// majority has lost it. One that isn't used runs out.
+    fn prepare(&mut self) {
+        let suspects = self.suspects_leader().is_some() && !self.blind();
+        if suspects && !self.election.busy && self.prepared().is_none() {
+            self.ask_for_grant();
+        }
+    }
+
+    fn prepared(&self) -> Option<Grant> {
+        let most_s = self.settings.tuning.grant_s * PREPARED;
+        let young = |grant: &Grant| self.now.since(grant.asked) < most_s;
+        self.election.grants.back().copied().filter(young)
+    }
+
+    fn ask_for_grant(&mut self) {
         let ttl_ms = (self.settings.tuning.grant_s * 1000.0) as u64;
         let op = StateOp::Grant { ttl_ms };
         if self.state_call(op, Purpose::Grant, Priority::First).is_ok() {
@@ -114,14 +199,32 @@
         };
         // Somebody else won while the grant was asked for. The commit would be on condition
         // of that record, and take the leadership away again, with a second takeover.
-        if self.taken() {
+        if !self.open() && self.suspects_leader().is_none() {
             let _ = self.state_call(StateOp::Release(hold), Purpose::Release, Priority::Last);
             return;
         }
-        self.election.grants.push_back((hold, sent));
+        self.election.grants.push_back(Grant { hold, asked: sent });
         if self.election.grants.len() > GRANTS_MAX {
             self.election.grants.pop_front();
         }
+        if self.election.vacant.is_some() && self.open() {
+            self.commit_leadership(hold);
+        }
+    }
+
+    /// What the records say of earlier leaders. The commit is conditional on the records of the
+    /// leader and of the highest number; an older plan only makes the wait longer.
+    fn predecessors(&self) -> Predecessors {
+        let leader = self.cache.leader.rec.as_ref();
+        let replaced = leader.filter(|_| self.taken());
+        Predecessors {
+            replaced_grant_ms: replaced.and_then(|l| l.fenced_ms),
+            fence: self.cache.number.rec.as_ref().and_then(|n| n.fence),
+            plan_number: self.cache.plan.rec.as_ref().map_or(0, |p| p.number.0),
+        }
+    }
+
+    fn commit_leadership(&mut self, hold: u64) {
         // The leadership's own number comes first: rentals are named after it.
         let number = Number(self.cache.highest().0 + 1);
         let mut highest = number;
@@ -138,20 +241,23 @@
             when.push((Key::Block(block), version));
             writes.push(Write::put(Key::Block(block), Record::Block(rec)));
         }
+        let heartbeats = self.settings.standby().enabled();
         let leader = LeaderRec {
             member: self.settings.platform.member.clone(),
             boot: self.boot,
             number,
             hold,
+            fenced_ms: heartbeats.then_some(self.fenced_ms()),
         };
         writes.push(Write::Put {
             key: Key::Leader,
             record: Record::Leader(leader),
             hold: Some(hold),
         });
+        let fence = self.predecessors().fence(number.0);
         writes.push(Write::put(
             Key::Number,
-            Record::Number(NumberRec { highest }),
+            Record::Number(NumberRec { highest, fence }),
         ));
         let op = StateOp::Commit { when, writes };
         if self.state_call(op, Purpose::Elect, Priority::First).is_ok() {
@@ -166,24 +272,31 @@
         self.election.vacant = None;
         if let StateReply::Committed { revision } = reply {
             self.election.won = revision;
+            self.follow_at_once();
         }
     }
 
+    /// Whether this controller has won, and only the follow doesn't show it yet.
+    pub(crate) fn has_won(&self) -> bool {
+        self.cache.revision < self.election.won
+    }
+
     /// Takes the grant that the leader's record names. A later attempt's grant stood in its
     /// place: the one that counted ran out unrenewed, and with it the leadership, after 3 s.
     fn take_grant(&mut self) {
         let rec = self.cache.leader.rec.as_ref();
         let named = rec.map_or(0, |l| l.hold);
         let mut grants = self.election.grants.drain(..);
-        let found = grants.find(|(hold, _)| *hold == named);
+        let found = grants.find(|grant| grant.hold == named);
         drop(grants);
-        self.election.hold = found.map(|(hold, _)| hold);
-        self.election.renewed = found.map_or(Time(0), |(_, sent)| sent);
+        self.election.hold = found.map(|grant| grant.hold);
+        self.election.renewed = found.map_or(Time(0), |grant| grant.asked);
     }
 
     /// The leader's, a block's, the number's or the plan's record changed.
     pub(crate) fn on_control(&mut self) {
         self.read_limits();
+        self.tell_standby_of_leader();
         let me = &self.settings.platform.member;
         let rested = self.now >= self.election.rest_until;
         let leader = self.cache.leader.rec.as_ref();
@@ -248,6 +361,10 @@
                 h.sync(core.now, revision, rec, &core.catalog);
             }
         });
+        if fresh {
+            // Reports wait elsewhere for the holder: their controllers learn of it at once.
+            self.say_hello();
+        }
     }
 
     /// Stops acting as the holder of the block in hand. Always safe: another process
@@ -289,12 +406,12 @@
     pub(crate) fn resign(&mut self, why: &str) {
         let ttl = self.settings.tuning.grant_s;
         self.election.rest_until = self.now.after(ttl * REST);
-        // Its key goes with the grant, so that nobody waits for its end.
-        if let Some(hold) = self.election.hold {
-            let op = StateOp::Release(hold);
-            let _ = self.state_call(op, Purpose::Release, Priority::First);
-        }
+        let hold = self.election.hold;
         self.drop_block(why);
         self.give_up(why);
+        // Its key goes with the grant, so that nobody waits for its end.
+        if let Some(hold) = hold {
+            self.release_when_quiet(hold);
+        }
     }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -338,6 +338,16 @@
         self.all.iter()
     }
 
+    /// The machines behind one of this name, in the order of their names.
+    pub fn iter_after(
+        &self,
+        id: Option<&MachineId>,
+    ) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        use std::ops::Bound;
+        let from = id.map_or(Bound::Unbounded, Bound::Excluded);
+        self.all.range((from, Bound::Unbounded))
+    }
+
     pub fn values(&self) -> impl Iterator<Item = &Machine> {
         self.all.values()
     }
--- a/src/core/follow.rs
+++ b/src/core/follow.rs
@@ -18,6 +18,7 @@
                 self.list_from(LIST_AFTER.into());
             }
             Sync::Paused { retry_at } if self.now >= retry_at => self.follow(),
+            Sync::Paused { .. } if self.suspects_leader().is_some() => self.follow(),
             Sync::Following { call } => {
                 // A cut can leave the follow's connection open and dead: a revision
                 // that is known to exist doesn't come through it.
@@ -92,7 +93,8 @@
     /// so that opening the follow again for each of them doesn't use up their requests:
     /// with five controllers that kept submissions waiting for a second.
     pub(super) fn follow_on(&mut self) {
-        if !self.parked.is_empty() || self.lead.is_some() {
+        let takes_over = self.suspects_leader().is_some() || self.has_won();
+        if !self.parked.is_empty() || self.lead.is_some() || takes_over {
             return self.follow();
         }
         let gap_s = 1.0 / (self.requests.rate() * FOLLOW_SHARE).max(1.0);
@@ -101,6 +103,13 @@
         };
     }
 
+    /// Goes on following without the pause: something is known to have changed.
+    pub(super) fn follow_at_once(&mut self) {
+        if matches!(self.sync, Sync::Paused { .. }) {
+            self.follow();
+        }
+    }
+
     pub(super) fn on_follow(&mut self, reply: StateReply, sent: Time) {
         match reply {
             StateReply::News { revision, news } => {
--- a/src/core/front/mod.rs
+++ b/src/core/front/mod.rs
@@ -125,7 +125,9 @@
     /// sibling is cut off, and users who reach it were refused for as long as that lasted.
     fn on_up(&mut self, req: ReqId) {
         let alone = self.singled_out() || self.unheard();
-        let reply = if self.blind() && (!self.listed || alone) {
+        let reply = if self.draining() {
+            Reply::later(503, 1, "this controller is about to end")
+        } else if self.blind() && (!self.listed || alone) {
             Reply::later(503, 1, "the state service doesn't answer")
         } else {
             Reply::ok(200, Vec::new())
--- a/src/core/holder/burst_estimate.rs
+++ b/src/core/holder/burst_estimate.rs
@@ -24,7 +24,12 @@
 const LIFE: f64 = 5.0;
 
 impl BurstEstimate {
-    fn faded(&self, now: Time, boot_s: f64) -> f64 {
+    /// What the holder before this one estimated, at that moment.
+    pub(crate) fn told(at: Time, squares: f64) -> Self {
+        Self { squares, at }
+    }
+
+    pub(crate) fn faded(&self, now: Time, boot_s: f64) -> f64 {
         faded(self.squares, now.since(self.at), BURST_HALF * boot_s)
     }
 
--- a/src/core/holder/intake.rs
+++ b/src/core/holder/intake.rs
@@ -35,6 +35,7 @@
             h.guess_demand(self.now, &self.catalog, self.cache.closed());
             info!("took over {} jobs of block {block}", h.jobs.len());
         }
+        self.take_hinted_estimates();
     }
 
     /// A job was accepted, or its record changed.
--- a/src/core/holder/mod.rs
+++ b/src/core/holder/mod.rs
@@ -15,7 +15,7 @@
 use super::failures::FailureLog;
 use super::fleet::{Fleet, Machine};
 use super::*;
-use burst_estimate::BurstEstimate;
+pub(crate) use burst_estimate::BurstEstimate;
 pub use commits::{FlushItem, FlushQueue, WriteUrgency};
 pub(crate) use image_demand::ImageDemand;
 pub use job_state::{Chunk, JobState, Phase, Placement};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod change_meter;
 pub mod chunks;
 pub mod dependencies;
+mod drain;
 mod election;
 pub mod failures;
 pub mod fleet;
@@ -25,6 +26,7 @@
 mod placement;
 pub mod records;
 mod relay;
+mod standby;
 mod team_limits;
 mod workers;
 
@@ -40,6 +42,7 @@
 use records::*;
 use salttrestle_cells::Cell;
 use salttrestle_cells::message::LinkMessage;
+use salttrestle_standby::Standby;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 #[derive(Debug)]
@@ -63,6 +66,8 @@
     Cell(LinkMessage),
     /// What became of this controller's own connection to a sibling.
     Link(Member, Link),
+    /// The process is told to end, and hands over first.
+    Drain,
     /// Time has passed.
     Tick,
 }
@@ -269,6 +274,13 @@
     /// The number under which each block was last held and given up.
     spent: BTreeMap<u32, Number>,
     pub(crate) lead: Option<Lead>,
+    standby: Standby,
+    /// Whether the log says that the leader is suspected.
+    leader_suspected: bool,
+    hint_sender: standby::HintSender,
+    /// A grant that is to be given up.
+    release: Option<drain::Release>,
+    drain: Option<drain::Drain>,
     pub(crate) catalog: Vec<ClassInfo>,
     catalog_retry: Time,
     siblings: BTreeMap<Member, (Hello, Time)>,
@@ -297,6 +309,7 @@
         let share = settings.tuning.budget_share;
         let cloud = f.cloud.rps * share;
         let cloud_budget = Bucket::new(cloud, cloud * 1.5);
+        let standby = standby::new_standby(&settings, boot);
         let mut core = Self {
             requests: Bucket::new(1.0, 1.0),
             changes: Bucket::new(1.0, 1.0),
@@ -329,6 +342,11 @@
             parked: BTreeMap::new(),
             spent: BTreeMap::new(),
             lead: None,
+            standby,
+            leader_suspected: false,
+            hint_sender: standby::HintSender::default(),
+            release: None,
+            drain: None,
             catalog: Vec::new(),
             catalog_retry: Time(0),
             siblings: BTreeMap::new(),
@@ -361,8 +379,10 @@
             Input::Peer(Message::BlockCounts(block_counts)) => self.on_block_counts(*block_counts),
             Input::Peer(Message::RelayedReport(relayed)) => self.on_relayed_report(*relayed),
             Input::Peer(Message::RelayedAnswer(answer)) => self.on_relayed_answer(answer),
+            Input::Peer(Message::Standby(message)) => self.on_standby_message(*message),
             Input::Cell(message) => self.on_cell_message(message),
             Input::Link(member, link) => self.on_link(member, link),
+            Input::Drain => self.on_drain(),
             Input::Tick => {}
         }
         if self.now >= self.housekeeping_at {
@@ -454,7 +474,9 @@
     fn housekeeping(&mut self) {
         self.sync_housekeeping();
         self.front_housekeeping();
+        self.standby_housekeeping();
         self.election_housekeeping();
+        self.drain_housekeeping();
         self.relay_housekeeping();
         self.each_block(Self::holder_housekeeping);
         self.catalog_housekeeping();
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -5,6 +5,7 @@
 use crate::ids::{Attempt, Image, JobId, MachineId, Member, Number};
 use salttrestle_cells::Cell;
 use salttrestle_cells::ledger::{CellRecord, LinkRecord};
+use salttrestle_standby::fence::Fence;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -84,12 +85,19 @@
     /// The grant that the record hangs on.
     #[serde(default)]
     pub hold: u64,
+    /// The leader calls the cloud only within so many milliseconds of a read of this record, so
+    /// that a successor that replaces it knows for how long to wait.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fenced_ms: Option<u64>,
 }
 
 /// The highest number ever given.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NumberRec {
     pub highest: Number,
+    /// How long the leader that was elected last leaves the cloud alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fence: Option<Fence>,
 }
 
 /// A machine as a block's record names it: type, zone, and whether it is spot.
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -397,6 +397,9 @@
 
     /// Whether a connection to a sibling could be made, or was refused.
     pub(crate) fn on_link(&mut self, member: Member, link: Link) {
+        if link != Link::Up {
+            self.standby.on_disconnected(self.now.0, member.as_str());
+        }
         match link {
             Link::Up => {
                 self.relays.down.remove(&member);
--- /dev/null
+++ b/src/core/standby.rs
@@ -0,0 +1,236 @@
+//! The standby in this controller: what its state machine is told, and what follows from it. The
+//! state machine itself is package `standby`.
+
+use super::holder::Holder;
+use super::{Core, Output};
+use crate::core::autoscaler::Pool;
+use crate::ids::{Image, MachineId, Time};
+use crate::peer::Message;
+use crate::settings::Settings;
+use crate::wire::ClassInfo;
+use log::info;
+use salttrestle_standby::detector::Suspicion;
+use salttrestle_standby::hints::{Estimates, HintStore, Hints, Rotation};
+use salttrestle_standby::message::StandbyMessage;
+use salttrestle_standby::standby::Term;
+use salttrestle_standby::{Config, Standby};
+use std::fmt;
+
+/// The hints that the leader sends.
+#[derive(Debug, Default)]
+pub(crate) struct HintSender {
+    due: Time,
+    rotation: Rotation,
+}
+
+/// How the standby of one controller stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandbyStatus {
+    /// Milliseconds since the leader was heard; `None` if it wasn't, or is this controller.
+    pub leader_silent_ms: Option<u64>,
+    /// Milliseconds since the latest hints came.
+    pub hints_age_ms: Option<u64>,
+    /// Machines that hints have told of.
+    pub hinted_machines: usize,
+    /// Hints that were dropped, since another controller than the leader sent them.
+    pub stale_hints: u64,
+    /// Changes of leadership within the last minute.
+    pub changes_lately: usize,
+}
+
+impl fmt::Display for StandbyStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let told = |ms: Option<u64>| match ms {
+            Some(ms) => format!("{ms} ms ago"),
+            None => "never".to_string(),
+        };
+        write!(
+            f,
+            "standby: leader heard {}, hints {} of {} machines, {} stale; {} changes of leadership \
+             in a minute",
+            told(self.leader_silent_ms),
+            told(self.hints_age_ms),
+            self.hinted_machines,
+            self.stale_hints,
+            self.changes_lately
+        )
+    }
+}
+
+/// The standby of a process that begins.
+pub(super) fn new_standby(settings: &Settings, boot: u64) -> Standby {
+    let platform = &settings.platform;
+    let peers = platform.siblings.iter().map(|s| s.member.to_string());
+    Standby::new(settings.standby(), platform.member.as_str(), boot, peers)
+}
+
+impl Core {
+    fn standby_config(&self) -> Config {
+        self.settings.standby()
+    }
+
+    /// Tells the siblings that this controller runs and, if it leads, what it knows.
+    pub(super) fn standby_housekeeping(&mut self) {
+        let before = self.suspects_leader();
+        if let Some(heartbeat) = self.standby.tick(self.now.0) {
+            let message = StandbyMessage::Heartbeat(heartbeat);
+            let message = Message::Standby(Box::new(message));
+            self.out.push(Output::Peer(None, message));
+        }
+        if before.is_some() != self.leader_suspected {
+            self.leader_suspected = before.is_some();
+            match before {
+                Some(why) => info!("the leader is suspected: {why:?}"),
+                None => info!("the leader isn't suspected any more"),
+            }
+        }
+        self.send_hints();
+    }
+
+    /// Whether this controller has lost the leader, and why.
+    pub(super) fn suspects_leader(&self) -> Option<Suspicion> {
+        self.standby.suspicion(self.now.0)
+    }
+
+    /// Whether the leader's record may be replaced before its grant's end. With several blocks
+    /// each holder calls the cloud for its own machines without leading: there the grant is
+    /// waited for.
+    pub(super) fn may_replace_leader(&self) -> bool {
+        self.cache.blocks.len() <= 1 && self.standby.may_replace(self.now.0).is_ok()
+    }
+
+    /// The leader's record may have changed.
+    pub(super) fn tell_standby_of_leader(&mut self) {
+        let term = self.cache.leader.rec.as_ref().map(|leader| Term {
+            leader: leader.member.to_string(),
+            boot: leader.boot,
+            number: leader.number.0,
+            fenced_ms: leader.fenced_ms,
+        });
+        self.standby.set_term(self.now.0, term);
+    }
+
+    pub(super) fn on_standby_message(&mut self, message: StandbyMessage) {
+        let now = self.now.0;
+        match message {
+            StandbyMessage::Heartbeat(heartbeat) => self.standby.on_heartbeat(now, &heartbeat),
+            StandbyMessage::Hints(hints) => self.standby.on_hints(now, hints),
+        }
+    }
+
+    /// How the standby stands, if it is switched on.
+    pub fn standby_status(&self) -> Option<StandbyStatus> {
+        let now = self.now.0;
+        self.standby_config().enabled().then(|| StandbyStatus {
+            leader_silent_ms: self.standby.leader_silent_ms(now),
+            hints_age_ms: self.standby.hints().age_ms(now),
+            hinted_machines: self.standby.hints().machines(),
+            stale_hints: self.standby.stale_hints,
+            changes_lately: self.standby.changes_lately(now),
+        })
+    }
+
+    // ---- hints
+
+    fn send_hints(&mut self) {
+        let pause_ms = self.standby_config().hints_ms;
+        if pause_ms == 0 || self.now < self.hint_sender.due {
+            return;
+        }
+        let (Some(lead), Some(holder)) = (&self.lead, self.parked.get(&0)) else {
+            return;
+        };
+        if !holder.whole {
+            return;
+        }
+        self.hint_sender.due = Time(self.now.0 + pause_ms);
+        let rotation = &mut self.hint_sender.rotation;
+        let after = rotation.after().map(MachineId::from);
+        let machines = holder.machines.iter_after(after.as_ref());
+        let machines = machines.map(|(id, machine)| {
+            let images = machine.images.iter().map(|(i, gb)| (i.as_str(), *gb));
+            (id.as_str(), images.collect())
+        });
+        let (images, machines) = rotation.next(machines);
+        let hints = Hints {
+            from: self.settings.platform.member.to_string(),
+            number: lead.number.0,
+            estimates: holder.estimates_for_standbys(self.now, &self.catalog),
+            images,
+            machines,
+        };
+        let message = Message::Standby(Box::new(StandbyMessage::Hints(hints)));
+        self.out.push(Output::Peer(None, message));
+    }
+
+    /// A new holder begins with what the one before it estimated.
+    pub(super) fn take_hinted_estimates(&mut self) {
+        let Some((age_ms, estimates)) = self.standby.hints().estimates(self.now.0) else {
+            return;
+        };
+        let Some(holder) = self.holder.as_mut().filter(|h| h.whole) else {
+            return;
+        };
+        info!("takes over estimates that are {age_ms} ms old");
+        holder.take_hinted_estimates(self.now, age_ms, estimates, &self.catalog);
+    }
+}
+
+impl Holder {
+    fn estimates_for_standbys(&self, now: Time, catalog: &[ClassInfo]) -> Estimates {
+        let named = |class: usize| catalog.get(class).map(|c| c.name.clone());
+        let boots = self.boots.iter();
+        let boots = boots.filter_map(|(class, boot_s)| Some((named(*class)?, *boot_s)));
+        let bursts = self.bursts.iter().filter_map(|((class, spot), burst)| {
+            let boot_s = catalog.get(*class)?.ready_s;
+            Some((named(*class)?, *spot, burst.faded(now, boot_s)))
+        });
+        Estimates {
+            boots: boots.collect(),
+            bursts: bursts.collect(),
+        }
+    }
+
+    fn take_hinted_estimates(
+        &mut self,
+        now: Time,
+        age_ms: u64,
+        estimates: &Estimates,
+        catalog: &[ClassInfo],
+    ) {
+        let class_of = |name: &str| catalog.iter().position(|c| c.name == name);
+        for (name, boot_s) in &estimates.boots {
+            if let Some(class) = class_of(name) {
+                self.boots.insert(class, *boot_s);
+            }
+        }
+        let told_at = Time(now.0.saturating_sub(age_ms));
+        for (name, spot, squares) in &estimates.bursts {
+            if let Some(class) = class_of(name) {
+                let pool: Pool = (class, *spot);
+                self.bursts
+                    .insert(pool, super::holder::BurstEstimate::told(told_at, *squares));
+            }
+        }
+    }
+
+    /// Which images a machine has isn't in its reports: what the leader before this holder told
+    /// of it is where starts are tried first.
+    pub(super) fn take_hinted_images(
+        &mut self,
+        id: &MachineId,
+        hints: &HintStore,
+        catalog: &[ClassInfo],
+    ) {
+        let images = hints.images_of(id.as_str());
+        if images.is_empty() {
+            return;
+        }
+        self.machines.edit(id, |machine| {
+            let cache_gb = catalog.get(machine.class).map_or(f64::MAX, |c| c.cache_gb);
+            for image in images {
+                machine.use_image(&Image::from(image.name.as_str()), image.gb, cache_gb);
+            }
+        });
+    }
+}
--- a/src/core/workers/reports.rs
+++ b/src/core/workers/reports.rs
@@ -39,6 +39,7 @@
         let number = h.number;
         let proof = report.number == number.0;
         let via = self.relays.carrier(req);
+        let first = h.machines.get(id).is_some_and(|m| m.heard.is_none());
         let taken = h.machines.edit(id, |m| {
             m.via = via;
             m.take_report(now, &report, proof)
@@ -51,6 +52,9 @@
             // may still wait, but nothing in it is news.
             return self.answer(req, Reply::ok(200, commands_body(number, &[])));
         }
+        if first {
+            h.take_hinted_images(id, self.standby.hints(), &self.catalog);
+        }
         if taken.born {
             h.place_wanted = true;
             h.note_birth(&self.catalog, id, now);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,10 +3,14 @@
 
 use crate::ids::{Attempt, MachineId, Member, Number, ReqId};
 use crate::wire::{Cause, Num, Report, ReportTask, TaskStance};
+use salttrestle_standby::message::{MessageError, StandbyMessage};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// Raised when a message changes its form; other versions are dropped.
 const VERSION: u8 = 4;
+/// The version of the frames of package `standby`. A release that doesn't know it drops them.
+const STANDBY_VERSION: u8 = 5;
 /// Most bytes of one message. The longest are counts: names of machines within a bound,
 /// and a line for each pool, zone and team, of which there may be hundreds.
 pub const MESSAGE_MAX: usize = 256 * 1024;
@@ -19,6 +23,23 @@
     BlockCounts(Box<BlockCounts>),
     RelayedReport(Box<RelayedReport>),
     RelayedAnswer(RelayedAnswer),
+    /// Travels in frames of a version of its own.
+    #[serde(skip)]
+    Standby(Box<StandbyMessage>),
+}
+
+/// Why a sibling's connection is closed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FrameError {
+    /// Longer than any message.
+    #[error("message too large")]
+    TooLarge,
+    /// Not a message.
+    #[error("malformed message")]
+    Malformed,
+    /// A message of the standby that isn't taken.
+    #[error("{0}")]
+    Standby(#[from] MessageError),
 }
 
 /// What a controller says of itself about once a second.
@@ -176,33 +197,39 @@
 
 /// Frames a message; `Err` with its size if no sibling would take it.
 pub fn frame(message: &Message) -> Result<Vec<u8>, usize> {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let (version, body) = match message {
+        Message::Standby(message) => (STANDBY_VERSION, message.encode()),
+        other => (VERSION, postcard::to_stdvec(other).unwrap_or_default()),
+    };
     if body.is_empty() || body.len() > MESSAGE_MAX {
         return Err(body.len());
     }
     let mut out = Vec::with_capacity(body.len() + HEAD);
     out.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    out.push(VERSION);
+    out.push(version);
     out.extend_from_slice(&body);
     Ok(out)
 }
 
 /// Takes the next whole message off a buffer. `Err` when the peer must be dropped.
-pub fn unframe(buf: &mut Vec<u8>) -> Result<Option<Message>, &'static str> {
+pub fn unframe(buf: &mut Vec<u8>) -> Result<Option<Message>, FrameError> {
     while buf.len() >= HEAD {
         let size = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
         if size > MESSAGE_MAX {
-            return Err("message too large");
+            return Err(FrameError::TooLarge);
         }
         if buf.len() < size + HEAD {
             return Ok(None);
         }
         let version = buf[HEAD - 1];
         let body: Vec<u8> = buf.drain(..size + HEAD).skip(HEAD).collect();
+        if version == STANDBY_VERSION {
+            let message = StandbyMessage::decode(&body)?;
+            return Ok(Some(Message::Standby(Box::new(message))));
+        }
         if version == VERSION {
-            return postcard::from_bytes(&body)
-                .map(Some)
-                .map_err(|_| "malformed message");
+            let message = postcard::from_bytes(&body);
+            return message.map(Some).map_err(|_| FrameError::Malformed);
         }
     }
     Ok(None)
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -1,6 +1,7 @@
 //! Figures that follow from the settings: times, shares and counts.
 
 use super::{Settings, StrictestLimits};
+use salttrestle_standby::Config;
 
 /// Processor time that a holder spends on one report, with all that follows from it, in
 /// seconds: as measured, rounded up.
@@ -34,6 +35,11 @@
         self.platform.facts.state.strictest()
     }
 
+    /// The times and bounds of the standby.
+    pub fn standby(&self) -> Config {
+        self.tuning.standby()
+    }
+
     /// Machines that one holder can serve with all of its processor.
     fn machines_a_holder(&self) -> f64 {
         let f = &self.platform.facts;
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,7 @@
 //! What operators set, as Java-style properties.
 
 use super::{SettingsError, bad};
+use salttrestle_standby::Config;
 use std::collections::HashMap;
 
 /// The documented defaults, as they stand in the repository.
@@ -17,6 +18,14 @@
     pub block_min: f64,
     /// `block.cpu`: share of the processor that a block's holder may use.
     pub block_cpu: f64,
+    /// `standby.heartbeat-s`: between two heartbeats of the leader; 0 for no standby.
+    pub heartbeat_s: f64,
+    /// `standby.missed`: heartbeats missed before the leader is suspected.
+    pub missed: f64,
+    /// `standby.takeovers-per-minute`: most changes of leadership before the grant's end.
+    pub takeovers_per_minute: f64,
+    /// `standby.hints-s`: between two hints of the leader; 0 for none.
+    pub hints_s: f64,
     /// `scale.tick-s`: the autoscaler's tick, in seconds.
     pub tick_s: f64,
     /// `scale.rise`: machines that one tick may add to a pool.
@@ -55,11 +64,15 @@
             }
         }
         let num = |key: &str, low: f64, high: f64| number(&table, file, key, low, high);
-        Ok(Self {
+        let tuning = Self {
             grant_s: num("leader.grant-s", 0.5, 60.0)?,
             block_lease_s: num("block.lease-s", 1.0, 600.0)?,
             block_min: num("block.min-machines", 1.0, 1e6)?,
             block_cpu: num("block.cpu", 1e-6, 1.0)?,
+            heartbeat_s: num("standby.heartbeat-s", 0.0, 10.0)?,
+            missed: num("standby.missed", 2.0, 100.0)?,
+            takeovers_per_minute: num("standby.takeovers-per-minute", 1.0, 60.0)?,
+            hints_s: num("standby.hints-s", 0.0, 60.0)?,
             tick_s: num("scale.tick-s", 0.5, 300.0)?,
             rise: num("scale.rise", 1.0, 50.0)?,
             rise_share: num("scale.rise-share", 0.0, 1.0)?,
@@ -71,7 +84,23 @@
             report_hold: num("report.hold", 0.0, 1.0)?,
             silent: num("health.silent", 0.3, 100.0)?,
             boot: num("health.boot", 1.5, 100.0)?,
-        })
+        };
+        match tuning.standby().check() {
+            Ok(()) => Ok(tuning),
+            Err(e) => Err(bad(file, "standby.heartbeat-s", e.to_string())),
+        }
+    }
+
+    /// The times and bounds of the standby.
+    pub fn standby(&self) -> Config {
+        let ms = |s: f64| (s * 1000.0).round() as u64;
+        Config {
+            heartbeat_ms: ms(self.heartbeat_s),
+            missed: self.missed as u32,
+            takeovers_per_minute: self.takeovers_per_minute as u32,
+            hints_ms: ms(self.hints_s),
+            grant_ms: ms(self.grant_s),
+        }
     }
 }
 
--- /dev/null
+++ b/standins/src/duties.rs
@@ -0,0 +1,46 @@
+//! The duties that one controller has at a time, renting and deleting, seen from outside: by whose
+//! record stood at the state service, and who called the cloud.
+
+use std::collections::BTreeMap;
+
+/// Judges who calls the cloud. Times are in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Duties {
+    /// The latest number under which each controller led.
+    led: BTreeMap<String, u64>,
+    /// Who changed something at the cloud under the highest number, and that number.
+    latest: Option<(u64, String)>,
+    /// The latest leader.
+    leader: Option<(u64, String)>,
+    /// Records of leaders that stood when the next one replaced them.
+    pub replaced: usize,
+    /// What was broken.
+    pub broken: Vec<String>,
+}
+
+impl Duties {
+    /// The leader's record is as follows; `None` while there is none.
+    pub fn leader_is(&mut self, leader: Option<(u64, &str)>) {
+        if let Some((number, member)) = leader {
+            let before = self.leader.as_ref().filter(|(n, _)| *n != number);
+            self.replaced += usize::from(before.is_some());
+            self.led.insert(member.into(), number);
+        }
+        self.leader = leader.map(|(number, member)| (number, member.into()));
+    }
+
+    /// A controller rents or deletes.
+    pub fn cloud_changed(&mut self, now: u64, member: &str) {
+        let Some(number) = self.led.get(member).copied() else {
+            let what = format!("{:.3} duty: {member} never led", now as f64 / 1e3);
+            return self.broken.push(what);
+        };
+        match &self.latest {
+            Some((latest, by)) if number < *latest => self.broken.push(format!(
+                "{:.3} duty: {member} calls the cloud under {number}, after {by} did under {latest}",
+                now as f64 / 1e3
+            )),
+            _ => self.latest = Some((number, member.into())),
+        }
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -290,6 +290,7 @@
         }
         "killed-at-most" => at_most(world.killed)?,
         "deleted-tasks-at-most" => at_most(world.deleted_tasks)?,
+        "replaced-at-most" => at_most(world.duties.replaced)?,
         "failures-at-most" => at_most(world.met.failures)?,
         "sick-machines-at-most" => at_most(world.workers.values().filter(|w| w.sick).count())?,
         // So many of the machines that the scenario began with are still there.
@@ -303,7 +304,7 @@
         }
         "rejected-at-most" => at_most(world.state.rejected)?,
         "limited-at-most" => at_most(world.state.limited)?,
-        "starts-at-most" => world.checker.starts <= l[1].parse().expect("a count"),
+        "starts-at-most" => at_most(world.checker.starts as usize)?,
         "numbers-at-most" => at_most(world.numbers.len())?,
         "no-takeover" => world.numbers.len() == 1,
         "machines-at-most" => at_most(world.workers.len())?,
--- a/tests/sim/nodes.rs
+++ b/tests/sim/nodes.rs
@@ -46,6 +46,11 @@
             return;
         }
         self.nodes[n].boot += 1;
+        // Its host closes its connections.
+        for m in (0..self.nodes.len()).filter(|m| *m != n) {
+            self.link(m, n, Link::Lost);
+            self.refused_links.insert((m, n));
+        }
         let boot = self.nodes[n].boot;
         self.state.waiters.retain(|w| w.node != n || w.boot == boot);
         for req in std::mem::take(&mut self.nodes[n].requests) {
@@ -104,6 +109,7 @@
             }
             Output::Forget(call) => self.state.waiters.retain(|w| w.call != call || w.node != n),
             Output::Cloud(call, op) => {
+                self.note_duty(n, &op);
                 let none = Input::Cloud(call, CloudReply::NoAnswer);
                 self.after(6000, Ev::Node(n, boot, none));
                 self.cross(n, Far::Cloud, 50, Ev::Cloud(n, boot, call, op));
@@ -117,7 +123,8 @@
                     let other = self.nodes[m].boot;
                     let cut = self.cut(m, Far::Peers).is_some();
                     let meant = to.as_ref().is_none_or(|t| t.as_str() == self.members[m]);
-                    if m != n && meant && self.now < self.peers_refuse_until {
+                    let ended = self.nodes[m].core.is_none();
+                    if m != n && meant && (ended || self.now < self.peers_refuse_until) {
                         self.refused_links.insert((n, m));
                         self.link(n, m, Link::Refused);
                     } else if m != n && !cut && meant {
--- a/tests/sim/services.rs
+++ b/tests/sim/services.rs
@@ -3,6 +3,7 @@
 use super::state::Waiter;
 use super::world::{Ev, Far, World};
 use salttrestle::core::Input;
+use salttrestle::core::records::Record;
 use salttrestle::ids::CallId;
 use salttrestle::wire::{CloudOp, StateOp, StateReply};
 
@@ -53,9 +54,29 @@
                 }
             }
         }
+        self.note_leader();
         self.wake_followers();
     }
 
+    /// Notes whose record says that it leads. With several blocks each holder deletes machines of
+    /// its own.
+    pub(super) fn note_leader(&mut self) {
+        let entry = self.state.store.entries.get("s/own/leader");
+        let leader = entry.and_then(|entry| match &entry.value {
+            Record::Leader(leader) => Some((leader.number.0, leader.member.to_string())),
+            _ => None,
+        });
+        let leader = leader.as_ref().map(|(n, member)| (*n, member.as_str()));
+        self.duties.leader_is(leader);
+    }
+
+    pub(super) fn note_duty(&mut self, n: usize, op: &CloudOp) {
+        let several = self.state.store.entries.contains_key("s/own/block/1");
+        if !several && matches!(op, CloudOp::Rent(_) | CloudOp::Delete(_)) {
+            self.duties.cloud_changed(self.now, &self.members[n]);
+        }
+    }
+
     /// Whether the state service answers 429: more was asked of it this second than it takes.
     pub(super) fn throttled(&mut self) -> bool {
         let (most, until) = self.throttle;
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -14,6 +14,7 @@
 use salttrestle::wire::{ClassInfo, CloudOp, StateOp};
 use salttrestle_standins::checker::Checker;
 use salttrestle_standins::cloud::Cloud;
+use salttrestle_standins::duties::Duties;
 use salttrestle_standins::worker::{TaskSpec, Worker};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -118,6 +119,7 @@
     pub cloud: Cloud,
     pub workers: BTreeMap<String, Worker>,
     pub checker: Checker,
+    pub duties: Duties,
     pub specs: HashMap<JobId, Spec>,
     pub(super) origins: HashMap<u64, (Origin, usize)>,
     pub(super) next_req: u64,
@@ -276,6 +278,7 @@
             cloud,
             workers: BTreeMap::new(),
             checker: Checker::new(ms(cancel), limits),
+            duties: Duties::default(),
             specs: HashMap::new(),
             origins: HashMap::new(),
             next_req: 0,
@@ -360,6 +363,8 @@
         self.checker.check_end(now);
         let defects = std::mem::take(&mut self.state.defects);
         self.checker.broken.extend(defects);
+        let duties = std::mem::take(&mut self.duties.broken);
+        self.checker.broken.extend(duties);
     }
 
     /// What reaches a node that stands still waits for it.
@@ -426,6 +431,7 @@
             Ev::Expire => {
                 let now = self.now;
                 self.state.expire(now);
+                self.note_leader();
                 self.wake_followers();
                 self.after(100, Ev::Expire);
             }
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -79,10 +79,12 @@
         boot: 7,
         number: Number(41),
         hold: 12,
+        fenced_ms: None,
     };
     check_record(&leader, LEADER);
     let number = NumberRec {
         highest: Number(42),
+        fence: None,
     };
     check_record(&number, NUMBER);
     let block = BlockRec {
