Hand-over on SIGTERM; takeovers measured with real processes, orders judged from outside

Need: a controller that is told to end made everybody wait for its grant, and nothing measured what an end of the leader costs. On SIGTERM a controller takes no new work, gives its grant up once its last call to the cloud is over, hands on reports until there is a successor, and ends with code 0. salttrestle-scale takeovers ends the leader again and again (kill, pause, terminate) and gives the time to the successor's record, to its number on a worker, to its first start and first urgent start. Stand-in orders judges starts by what was committed, and calls to the cloud by who led; the scenarios use it too.

--- a/scale/src/controllers.rs
+++ b/scale/src/controllers.rs
@@ -28,14 +28,15 @@
 const LIST_LAG_S: f64 = 3.0;
 /// The fleet keeps its size: an empty machine goes back only after so many boot times.
 const PROPERTIES: &str = "scale.window = 100\n";
+const WITHOUT_STANDBY: &str = "standby.heartbeat-s = 0\nstandby.hints-s = 0\n";
 
 /// The addresses of one cell.
 #[derive(Clone, Debug)]
 pub struct CellAddresses {
     /// The state service.
     pub state: SocketAddrV4,
-    /// The cloud.
-    pub cloud: SocketAddrV4,
+    /// The cloud: an address for each controller, by which it is told who calls.
+    pub clouds: Vec<SocketAddrV4>,
     /// Where each controller listens for users and workers.
     pub controllers: Vec<SocketAddrV4>,
     /// Where each controller listens for the others.
@@ -60,7 +61,9 @@
         let host = |n: usize| FIRST_CONTROLLER_HOST + n as u8;
         Self {
             state: at(SERVICES_HOST, STATE_PORT),
-            cloud: at(SERVICES_HOST, CLOUD_PORT),
+            clouds: (0..controllers)
+                .map(|n| at(SERVICES_HOST, CLOUD_PORT + n as u16))
+                .collect(),
             controllers: (0..controllers).map(|n| at(host(n), USER_PORT)).collect(),
             peers: (0..controllers).map(|n| at(host(n), PEER_PORT)).collect(),
             links: (0..controllers).map(|n| at(host(n), LINK_PORT)).collect(),
@@ -85,6 +88,7 @@
     log: PathBuf,
     program: PathBuf,
     child: Option<Child>,
+    told_to_end: bool,
 }
 
 impl Controller {
@@ -100,7 +104,7 @@
         let properties = folder.join("controllers.properties");
         let settings = platform(experiment, cell, n, &all[cell]);
         std::fs::write(&config, settings.to_string())?;
-        std::fs::write(&properties, PROPERTIES)?;
+        std::fs::write(&properties, own_properties(experiment))?;
         let cells = match &experiment.sharing {
             None => None,
             Some(sharing) => {
@@ -117,6 +121,7 @@
             log: folder.join(format!("{member}.log")),
             program: program.into(),
             child: None,
+            told_to_end: false,
             member,
         })
     }
@@ -166,8 +171,33 @@
         }
     }
 
-    /// Whether it has ended though nobody killed it.
+    /// Tells the process to end. It may be started again by `restart`.
+    pub fn terminate(&mut self) {
+        self.told_to_end = true;
+        let pid = self.pid().and_then(|pid| Pid::from_raw(pid as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+    }
+
+    /// Starts the process, after the one before it has ended or is killed. Whether that had
+    /// ended by itself, if it was told to.
+    pub fn restart(&mut self) -> io::Result<bool> {
+        let told = std::mem::take(&mut self.told_to_end);
+        let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+        let obeyed = !told || self.child.as_mut().is_none_or(ended);
+        if told {
+            self.kill();
+        }
+        self.start()?;
+        Ok(obeyed)
+    }
+
+    /// Whether it has ended though nobody killed it or told it to end.
     pub fn has_ended(&mut self) -> bool {
+        if self.told_to_end {
+            return false;
+        }
         let ended = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
         self.child.as_mut().is_some_and(ended)
     }
@@ -180,6 +210,14 @@
     }
 }
 
+fn own_properties(experiment: &Experiment) -> String {
+    let standby = experiment.takeovers.as_ref().is_none_or(|t| t.standby);
+    match standby {
+        true => PROPERTIES.into(),
+        false => format!("{PROPERTIES}{WITHOUT_STANDBY}"),
+    }
+}
+
 /// The settings that a platform would hand over.
 fn platform(
     experiment: &Experiment,
@@ -204,7 +242,7 @@
         "listen": addresses.controllers[n].to_string(),
         "peer_listen": addresses.peers[n].to_string(),
         "siblings": siblings.collect::<Vec<_>>(),
-        "services": {"cloud": addresses.cloud.to_string(), "state": addresses.state.to_string()},
+        "services": {"cloud": addresses.clouds[n].to_string(), "state": addresses.state.to_string()},
         "facts": {
             "count": plan.controllers, "zones": plan.zones, "teams": teams.collect::<Vec<_>>(),
             "objectives": [],
--- a/scale/src/experiment.rs
+++ b/scale/src/experiment.rs
@@ -1,5 +1,6 @@
 //! Experiments: what is played, as TOML. An experiment is checked in full before anything starts.
 
+use crate::takeovers::Takeovers;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -25,6 +26,8 @@
 
 /// The experiment that is played when no file is named.
 pub const EMBEDDED: &str = include_str!("../experiments/small.toml");
+/// The takeovers that are played when no file is named.
+pub const EMBEDDED_TAKEOVERS: &str = include_str!("../experiments/takeovers-small.toml");
 
 /// Why an experiment isn't played.
 #[derive(Debug, Error, PartialEq)]
@@ -58,6 +61,9 @@
     /// Whether the cells share team limits, and how these change.
     #[serde(default)]
     pub sharing: Option<Sharing>,
+    /// Whether leaders end again and again.
+    #[serde(default)]
+    pub takeovers: Option<Takeovers>,
     /// What is aimed at.
     #[serde(default)]
     pub aims: Aims,
@@ -175,6 +181,9 @@
     /// At least this share of the starts that were asked for takes place.
     #[serde(default)]
     pub starts_share: Option<f64>,
+    /// After each end of a leader the next one starts a task within this time, in seconds.
+    #[serde(default)]
+    pub takeover_within_s: Option<f64>,
     /// 99% of the changes of limits are in force within this time, in seconds.
     #[serde(default)]
     pub limits_within_s: Option<f64>,
@@ -316,6 +325,9 @@
         if let Some((key, reason)) = self.wrong_cells() {
             return wrong(key, reason);
         }
+        if let Some((key, reason)) = self.wrong_takeovers() {
+            return wrong(key, reason);
+        }
         for trouble in &self.troubles {
             let named = match &trouble.what {
                 TroubleKind::LinkCut { to, .. } => to.as_ref(),
@@ -393,6 +405,34 @@
         })
     }
 
+    fn wrong_takeovers(&self) -> Option<(&'static str, String)> {
+        let plan = self.takeovers.as_ref()?;
+        let times = [
+            ("takeovers.every_s", plan.every_s),
+            ("takeovers.down_s", plan.down_s),
+            ("takeovers.pause_s", plan.pause_s),
+        ];
+        if let Some((key, value)) = times.iter().find(|(_, s)| !s.is_finite() || *s <= 0.0) {
+            return Some((key, format!("{value} must be above 0")));
+        }
+        if plan.kinds.is_empty() {
+            return Some(("takeovers.kinds", "there must be one".into()));
+        }
+        if self.cells.len() != 1 || self.controllers() < 2 {
+            let reason = "one cell with at least two controllers is needed";
+            return Some(("takeovers", reason.into()));
+        }
+        let needed = f64::from(plan.count) * plan.every_s;
+        if needed > self.phases.measure_s {
+            let measured = self.phases.measure_s;
+            return Some((
+                "takeovers.count",
+                format!("they take {needed} s, longer than the {measured} s that are measured"),
+            ));
+        }
+        None
+    }
+
     fn wrong_cells(&self) -> Option<(&'static str, String)> {
         if self.cells.is_empty() || self.cells.len() > CELLS_MAX {
             return Some(("cell", format!("there must be 1 to {CELLS_MAX} cells")));
--- a/scale/src/hollow/cell.rs
+++ b/scale/src/hollow/cell.rs
@@ -2,20 +2,21 @@
 
 use super::cloud_service::{read_request, write_answer};
 use super::connections::{Arrival, Connections, LINKS, Role, Traffic};
-use super::state_service::{Answer, BLOCK, StateCounts, StateService};
+use super::state_service::{Answer, BLOCK, LEADER, StateCounts, StateService};
 use super::users::Users;
 use super::workers::{Fleet, ROUND_MS};
 use crate::controllers::{CellAddresses, list_lag_ms, member};
 use crate::experiment::{Experiment, Load, Phases};
 use crate::limit_watch::LimitWatch;
 use crate::procfs::{CpuTime, thread_cpu};
+use crate::takeovers::TakeoverWatch;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use salttrestle::core::records::{LimitsByTeam, Room};
+use salttrestle::core::records::{Key, LimitsByTeam, Room};
 use salttrestle::http::{self, Message};
 use salttrestle::ids::JobId;
-use salttrestle::wire::{ClassInfo, CloudReply};
+use salttrestle::wire::{ClassInfo, CloudOp, CloudReply};
 use salttrestle_standins::checker::Checker;
 use salttrestle_standins::cloud::Cloud;
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,6 +60,8 @@
     pub load: Load,
     /// The course of the run.
     pub phases: Phases,
+    /// Whether it is the only cell: then orders are judged as well.
+    pub sole: bool,
     experiment: Experiment,
     index: usize,
 }
@@ -79,6 +82,7 @@
             lease_ms: ms(experiment.service.lease_s),
             load: experiment.load.clone(),
             phases: experiment.phases.clone(),
+            sole: experiment.cells.len() == 1,
             experiment: experiment.clone(),
             index,
         }
@@ -91,6 +95,7 @@
     checker: Mutex<Checker>,
     over: Mutex<BTreeSet<JobId>>,
     limits: Mutex<LimitWatch>,
+    takeovers: Mutex<TakeoverWatch>,
 }
 
 impl Shared {
@@ -101,6 +106,7 @@
             checker: Mutex::new(checker),
             over: Mutex::new(BTreeSet::new()),
             limits: Mutex::new(LimitWatch::default()),
+            takeovers: Mutex::new(TakeoverWatch::default()),
         }
     }
 
@@ -123,6 +129,13 @@
             .unwrap_or_else(|broken| broken.into_inner())
     }
 
+    /// What is seen of takeovers and orders, where one cell is played.
+    pub fn takeovers(&self) -> MutexGuard<'_, TakeoverWatch> {
+        self.takeovers
+            .lock()
+            .unwrap_or_else(|broken| broken.into_inner())
+    }
+
     /// A job's user knows that it is over; true if that is news.
     pub fn note_over(&self, job: &JobId) -> bool {
         let mut over = self
@@ -217,7 +230,7 @@
         shared: Arc<Shared>,
         commands: Receiver<Command>,
     ) -> io::Result<Self> {
-        let connections = Connections::new(plan.addresses.state, plan.addresses.cloud)?;
+        let connections = Connections::new(plan.addresses.state, &plan.addresses.clouds)?;
         let state = StateService::new(&plan.experiment.service);
         let seed = plan.experiment.seed + plan.index as u64;
         let mut cell = Self {
@@ -388,10 +401,12 @@
                 if let Some(answer) = self.state.execute(now, key, &message) {
                     self.answer_later(now, key, answer);
                 }
-                self.note_limits(now);
+                self.note_written(now);
                 self.wake_followers(now);
             }
-            Arrival::Message(key, Role::Cloud, message) => self.cloud_request(now, key, &message),
+            Arrival::Message(key, Role::Cloud(controller), message) => {
+                self.cloud_request(now, (key, controller), &message);
+            }
             Arrival::Message(_, Role::Worker(index), message) => {
                 let (connections, jobs) = (&mut self.connections, &self.users.jobs);
                 let taken = self.fleet.answered(now, index, &message, connections, jobs);
@@ -410,7 +425,7 @@
                 }
             }
             Arrival::Closed(key, Role::State) => self.state.disconnected(key),
-            Arrival::Closed(_, Role::Cloud) => {}
+            Arrival::Closed(_, Role::Cloud(_)) => {}
             Arrival::Closed(key, Role::Worker(index)) => self.fleet.closed(now, index, key),
             Arrival::Closed(key, Role::User(_)) => self.users.closed(now, key, &mut self.rng),
             Arrival::Closed(key, Role::Probe(controller)) => {
@@ -419,8 +434,9 @@
         }
     }
 
-    /// What the limits in force became by what was just written.
-    fn note_limits(&mut self, now: u64) {
+    /// Looks at what was just written.
+    fn note_written(&mut self, now: u64) {
+        let sole = self.plan.sole;
         for (path, value) in self.state.take_written() {
             if path == BLOCK {
                 if let Ok(view) = value.deserialized() {
@@ -428,6 +444,17 @@
                         .limits()
                         .block_changed(now, self.plan.index, view);
                 }
+                if let Some(block) = value.deserialized().ok().filter(|_| sole) {
+                    self.shared.takeovers().block_written(now, &block);
+                }
+            } else if path == LEADER {
+                if let Some(leader) = value.deserialized().ok().filter(|_| sole) {
+                    self.shared.takeovers().leader_written(Some(&leader));
+                }
+            } else if let Some(Key::Run(job, _)) = Key::parse(&path) {
+                if let Some(run) = value.deserialized().ok().filter(|_| sole) {
+                    self.shared.takeovers().run_written(&job, &run);
+                }
             } else if let Ok(record) = value.deserialized() {
                 let limits = self.shared.limits().cell_changed(now, &record);
                 let mut checker = self.shared.checker();
@@ -438,11 +465,16 @@
         }
     }
 
-    fn cloud_request(&mut self, now: u64, key: usize, message: &Message) {
+    fn cloud_request(&mut self, now: u64, (key, caller): (usize, usize), message: &Message) {
         let Some(op) = read_request(message) else {
             let malformed = (400, salttrestle::wire::error_body("malformed"));
             return self.send_later(now, key, malformed);
         };
+        if self.plan.sole && matches!(op, CloudOp::Rent(_) | CloudOp::Delete(_)) {
+            let mut watch = self.shared.takeovers();
+            let member = &self.plan.members[caller];
+            watch.orders.duties.cloud_changed(now, member);
+        }
         let (reply, gone) = self.cloud.execute(now, &op);
         for id in gone {
             self.fleet.stop(&mut self.connections, &id, true);
--- a/scale/src/hollow/connections.rs
+++ b/scale/src/hollow/connections.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 const STATE_LISTENER: usize = 0;
-const CLOUD_LISTENER: usize = 1;
-const FIRST_CONNECTION: usize = 2;
+/// The cloud has a listener for each controller.
+const FIRST_CLOUD_LISTENER: usize = 1;
+const FIRST_CONNECTION: usize = 1_000;
 const READ_BYTES: usize = 64 * 1024;
 /// Most bytes of a body that is taken.
 const BODY_MAX: usize = 8 << 20;
@@ -21,8 +22,8 @@
 pub enum Role {
     /// A controller calls the state service.
     State,
-    /// A controller calls the cloud.
-    Cloud,
+    /// A controller, by its index, calls the cloud.
+    Cloud(usize),
     /// A worker reports, by its index.
     Worker(usize),
     /// A user asks, at a controller by its index.
@@ -63,7 +64,7 @@
     fn link(self) -> usize {
         match self {
             Role::State => 0,
-            Role::Cloud => 1,
+            Role::Cloud(_) => 1,
             Role::Worker(_) => 2,
             Role::User(_) => 3,
             Role::Probe(_) => 4,
@@ -72,7 +73,7 @@
 
     fn side(self) -> Side {
         match self {
-            Role::State | Role::Cloud => Side::Request,
+            Role::State | Role::Cloud(_) => Side::Request,
             _ => Side::Response,
         }
     }
@@ -99,7 +100,7 @@
     poller: Poller,
     events: Events,
     state_listener: TcpListener,
-    cloud_listener: TcpListener,
+    cloud_listeners: Vec<TcpListener>,
     open: HashMap<usize, Connection>,
     next_key: usize,
     buffer: Vec<u8>,
@@ -109,15 +110,19 @@
 
 impl Connections {
     /// Listens for the cell's controllers.
-    pub fn new(state: SocketAddrV4, cloud: SocketAddrV4) -> io::Result<Self> {
+    pub fn new(state: SocketAddrV4, clouds: &[SocketAddrV4]) -> io::Result<Self> {
         let poller = Poller::new()?;
         let state_listener = listen(&poller, state, STATE_LISTENER)?;
-        let cloud_listener = listen(&poller, cloud, CLOUD_LISTENER)?;
+        let cloud_listeners = clouds
+            .iter()
+            .enumerate()
+            .map(|(n, cloud)| listen(&poller, *cloud, FIRST_CLOUD_LISTENER + n));
+        let cloud_listeners = cloud_listeners.collect::<io::Result<_>>()?;
         Ok(Self {
             poller,
             events: Events::new(),
             state_listener,
-            cloud_listener,
+            cloud_listeners,
             open: HashMap::new(),
             next_key: FIRST_CONNECTION,
             buffer: vec![0; READ_BYTES],
@@ -221,7 +226,9 @@
         for event in events {
             match event.key {
                 STATE_LISTENER => self.accept(Role::State)?,
-                CLOUD_LISTENER => self.accept(Role::Cloud)?,
+                key if key < FIRST_CONNECTION => {
+                    self.accept(Role::Cloud(key - FIRST_CLOUD_LISTENER))?;
+                }
                 key => {
                     if event.writable {
                         self.flush(key);
@@ -238,8 +245,8 @@
     fn accept(&mut self, role: Role) -> io::Result<()> {
         loop {
             let listener = match role {
-                Role::State => &self.state_listener,
-                _ => &self.cloud_listener,
+                Role::Cloud(n) => &self.cloud_listeners[n],
+                _ => &self.state_listener,
             };
             match listener.accept() {
                 Ok((stream, _)) => {
--- a/scale/src/hollow/state_service.rs
+++ b/scale/src/hollow/state_service.rs
@@ -69,13 +69,19 @@
     outage: bool,
     /// What it has done so far.
     pub counts: StateCounts,
-    /// The records of limits that were written since they were last taken.
+    /// The records that are watched and were written since they were last taken.
     written: Vec<(String, Rc<Value>)>,
 }
 
 /// Records that say what teams may use.
 pub const BLOCK: &str = "s/own/block/0";
 pub const CELL: &str = "s/own/cell";
+pub const LEADER: &str = "s/own/leader";
+pub const RUNS: &str = "s/run/";
+
+fn watched(path: &str) -> bool {
+    [BLOCK, CELL, LEADER].contains(&path) || path.starts_with(RUNS)
+}
 /// What operators write of limits.
 const LIMITS: &str = "s/own/limits";
 
@@ -214,7 +220,7 @@
         self.store.commit(&[], vec![write]);
     }
 
-    /// The records of limits that were written since they were last taken.
+    /// The records that are watched and were written since they were last taken.
     pub fn take_written(&mut self) -> Vec<(String, Rc<Value>)> {
         std::mem::take(&mut self.written)
     }
@@ -313,16 +319,14 @@
         }
         let conditions = body.when.into_iter().map(|c| (c.path, c.revision));
         let conditions: Vec<(String, u64)> = conditions.collect();
-        let of_limits = writes.iter().filter_map(|write| match write {
-            Write::Put { path, value, .. } if path == BLOCK || path == CELL => {
-                Some((path.clone(), value.clone()))
-            }
+        let noted = writes.iter().filter_map(|write| match write {
+            Write::Put { path, value, .. } if watched(path) => Some((path.clone(), value.clone())),
             _ => None,
         });
-        let of_limits: Vec<(String, Rc<Value>)> = of_limits.collect();
+        let noted: Vec<(String, Rc<Value>)> = noted.collect();
         match self.store.commit(&conditions, writes) {
             CommitOutcome::Committed(revision) => {
-                self.written.extend(of_limits);
+                self.written.extend(noted);
                 self.counts.commits += 1;
                 self.counts.changes += operations as u64;
                 self.store.compact();
--- a/scale/src/hollow/workers.rs
+++ b/scale/src/hollow/workers.rs
@@ -2,7 +2,7 @@
 
 use super::cell::{CellPlan, Shared};
 use super::connections::{Connections, Role};
-use super::users::Jobs;
+use super::users::{Jobs, URGENT};
 use rand::RngExt;
 use rand::rngs::StdRng;
 use salttrestle::http::{self, Message};
@@ -200,7 +200,11 @@
         let before = found.worker.controller;
         let answer = (message.status().unwrap_or(0), message.body.as_slice());
         let members = &self.plan.members;
+        let number = found.worker.number;
         let events = found.worker.answered(now, sent, answer, members, jobs)?;
+        if self.plan.sole && found.worker.number > number {
+            self.shared.takeovers().shown(now, found.worker.number);
+        }
         if found.worker.controller != before
             && let Some(key) = found.connection.take()
         {
@@ -232,6 +236,14 @@
         let mut checker = self.shared.checker();
         for event in events {
             match event {
+                TaskEvent::Accepted(task, attempt) if self.plan.sole => {
+                    let job = checker.jobs.get(&task.job);
+                    let urgent = job.is_some_and(|j| j.rec.class == URGENT);
+                    let worker = (found.id.as_str(), found.worker.number);
+                    let mut watch = self.shared.takeovers();
+                    watch.started(now, worker, (&task, attempt), urgent);
+                }
+                TaskEvent::Accepted(..) => {}
                 TaskEvent::Started(task) => {
                     let place = Place {
                         machine: found.id.clone(),
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod results;
 pub mod run;
 pub mod sweep;
+pub mod takeovers;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use salttrestle_scale::capacity::{SlopeTable, with_computed};
 use salttrestle_scale::controllers::find_program;
-use salttrestle_scale::experiment::{EMBEDDED, Experiment};
+use salttrestle_scale::experiment::{EMBEDDED, EMBEDDED_TAKEOVERS, Experiment};
 use salttrestle_scale::results::{Results, Row};
 use salttrestle_scale::run::{Places, default_folder, play};
 use salttrestle_scale::sweep::Sweep;
@@ -29,6 +29,8 @@
 enum Action {
     /// Play an experiment; without one, a small fleet whose leading controller is killed.
     Run(RunArguments),
+    /// End the leader again and again, and measure what that costs.
+    Takeovers(TakeoverArguments),
     /// Play an experiment again and again with one count after another varied, and fit a line for
     /// each cost.
     Sweep(SweepArguments),
@@ -80,6 +82,15 @@
     write: bool,
 }
 
+#[derive(clap::Args)]
+struct TakeoverArguments {
+    #[command(flatten)]
+    run: RunArguments,
+    /// Switch the standby off, to compare.
+    #[arg(long)]
+    without_standby: bool,
+}
+
 #[derive(clap::Args, Default)]
 struct RunArguments {
     /// The experiment (TOML).
@@ -102,6 +113,7 @@
         .unwrap_or(Action::Run(RunArguments::default()))
     {
         Action::Run(arguments) => run(&arguments),
+        Action::Takeovers(arguments) => takeovers(&arguments),
         Action::Sweep(arguments) => sweep(&arguments),
         Action::Fit(arguments) => fit(&arguments),
         Action::Capacity(arguments) => capacity(&arguments),
@@ -121,6 +133,27 @@
         None => Experiment::parse("(embedded)", EMBEDDED)?,
         Some(path) => read_experiment(path)?,
     };
+    play_and_print(&experiment, arguments)
+}
+
+fn takeovers(arguments: &TakeoverArguments) -> Result<ExitCode, Box<dyn Error>> {
+    let mut experiment = match &arguments.run.experiment {
+        None => Experiment::parse("(embedded)", EMBEDDED_TAKEOVERS)?,
+        Some(path) => read_experiment(path)?,
+    };
+    let plan = experiment.takeovers.as_mut();
+    let plan = plan.ok_or("the experiment has no takeovers")?;
+    if arguments.without_standby {
+        plan.standby = false;
+        experiment.name += "-without-standby";
+    }
+    play_and_print(&experiment, &arguments.run)
+}
+
+fn play_and_print(
+    experiment: &Experiment,
+    arguments: &RunArguments,
+) -> Result<ExitCode, Box<dyn Error>> {
     let program = find_program(arguments.controller.as_deref())?;
     let folder = arguments.out.clone();
     let folder = folder.unwrap_or_else(|| default_folder(&experiment.name));
@@ -128,7 +161,7 @@
         program: &program,
         folder: &folder,
     };
-    let results = play(&experiment, None, &places)?;
+    let results = play(experiment, None, &places)?;
     let lines = folder.join("results.jsonl");
     std::fs::write(&lines, results.json_lines())?;
     print!("{}", results.table());
--- a/scale/src/results.rs
+++ b/scale/src/results.rs
@@ -1,6 +1,7 @@
 //! What a run brought: rows of JSON lines, and a table for people.
 
 use crate::hollow::Traffic;
+use crate::takeovers::TakeoverRow;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
@@ -29,6 +30,8 @@
     Second(SecondRow),
     /// A job that started late.
     Late(LateRow),
+    /// An end of a leader.
+    Takeover(TakeoverRow),
 }
 
 /// The run as a whole.
@@ -255,7 +258,7 @@
         let mut text = String::new();
         for row in &self.rows {
             let line = match row {
-                Row::Run(_) | Row::Second(_) | Row::Late(_) => continue,
+                Row::Run(_) | Row::Second(_) | Row::Late(_) | Row::Takeover(_) => continue,
                 Row::Process(p) => process_line(p),
                 Row::Link(l) => format!(
                     "{:<12} {:<8} {:>9.1} messages/s and {:>9.1} KB/s in, {:>9.1} and {:>9.1} out",
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -8,6 +8,7 @@
 use crate::results::{
     HollowRow, LateRow, LatencyRow, LinkRow, ProcessRow, Results, Row, RunRow, SecondRow, StateRow,
 };
+use crate::takeovers::{EndKind, Schedule};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use salttrestle_standins::checker::{Checker, JobView};
@@ -111,6 +112,8 @@
     links: LinkProxy,
     rng: StdRng,
     load_from_ms: u64,
+    /// Controllers that were told to end and didn't.
+    disobeyed: Vec<String>,
 }
 
 /// Plays an experiment.
@@ -153,6 +156,7 @@
             links: LinkProxy::default(),
             rng: StdRng::seed_from_u64(experiment.seed),
             load_from_ms: 0,
+            disobeyed: Vec::new(),
         };
         let all: Vec<CellAddresses> = experiment
             .cells
@@ -228,6 +232,8 @@
             .as_ref()
             .map_or(0.0, |s| s.changes_per_s);
         let mut next_change = phases.ramp_s;
+        let plan = self.experiment.takeovers.as_ref();
+        let mut ends = plan.map(|plan| Schedule::new(plan, self.experiment.seed, measure_from));
         let (mut from, mut to): (Option<Mark>, Option<Mark>) = (None, None);
         loop {
             std::thread::sleep(LOOK);
@@ -237,6 +243,9 @@
                 self.strike(trouble)?;
             }
             self.bring_back()?;
+            if let Some(kind) = ends.as_mut().and_then(|ends| ends.due(at_s)) {
+                self.end_leader(kind)?;
+            }
             while changes_per_s > 0.0 && at_s >= next_change && at_s < measure_to {
                 next_change += 1.0 / changes_per_s;
                 self.change_limit();
@@ -376,6 +385,34 @@
         Ok(())
     }
 
+    fn end_leader(&mut self, kind: EndKind) -> Result<(), RunError> {
+        let Some(plan) = &self.experiment.takeovers else {
+            return Ok(());
+        };
+        let Some(n) = self.find(0, Which::Leader)? else {
+            warn!("nobody leads, and nobody is ended");
+            return Ok(());
+        };
+        info!("{} ends: {kind:?}", self.controllers[n].member);
+        let after = |s: f64| Instant::now() + Duration::from_secs_f64(s);
+        self.shared.takeovers().ended(self.shared.now_ms(), kind);
+        match kind {
+            EndKind::Kill => {
+                self.controllers[n].kill();
+                self.restarts.push((after(plan.down_s), n));
+            }
+            EndKind::Pause => {
+                self.controllers[n].pause(true);
+                self.resumes.push((after(plan.pause_s), n));
+            }
+            EndKind::Terminate => {
+                self.controllers[n].terminate();
+                self.restarts.push((after(plan.down_s), n));
+            }
+        }
+        Ok(())
+    }
+
     /// An operator changes one team's limit, at its home.
     fn change_limit(&mut self) {
         let load = &self.experiment.load;
@@ -440,7 +477,9 @@
     fn bring_back(&mut self) -> Result<(), RunError> {
         let now = Instant::now();
         for (_, n) in self.restarts.extract_if(.., |(at, _)| now >= *at) {
-            self.controllers[n].start()?;
+            if !self.controllers[n].restart()? {
+                self.disobeyed.push(self.controllers[n].member.clone());
+            }
         }
         for (_, n) in self.resumes.extract_if(.., |(at, _)| now >= *at) {
             self.controllers[n].pause(false);
@@ -484,6 +523,7 @@
                 started,
             )));
         }
+        rows.extend(self.shared.takeovers().result_rows());
         rows.extend(self.late_rows(&checker));
         rows.extend(self.seconds.iter().cloned().map(Row::Second));
         drop(checker);
@@ -546,6 +586,15 @@
             .iter()
             .map(|m| format!("{m} has ended by itself"));
         broken.extend(ended);
+        let watch = self.shared.takeovers();
+        let orders = &watch.orders;
+        let wrong = orders.broken.iter().chain(&orders.duties.broken);
+        broken.extend(wrong.take(BROKEN_MAX).cloned());
+        info!(
+            "{} tasks were started again, {} records of leaders were replaced",
+            orders.repeated, orders.duties.replaced
+        );
+        drop(watch);
         RunRow {
             name: self.experiment.name.clone(),
             seed: self.experiment.seed,
@@ -570,6 +619,7 @@
 
     fn missed_aims(&self, checker: &Checker, open: usize, starts_per_s: f64) -> Vec<String> {
         let mut missed = missed_aims(self.experiment, checker, open, starts_per_s);
+        missed.extend(self.missed_takeovers());
         let limits = self.shared.limits();
         let Some(within_s) = self.experiment.aims.limits_within_s else {
             return missed;
@@ -593,6 +643,22 @@
     }
 }
 
+impl Run<'_> {
+    fn missed_takeovers(&self) -> Vec<String> {
+        let mut missed = Vec::new();
+        let watch = self.shared.takeovers();
+        if let Some(within_s) = self.experiment.aims.takeover_within_s {
+            let (late, all) = (watch.late(within_s), watch.rows.len());
+            if late > 0 {
+                missed.push(format!("{late} of {all} takeovers took over {within_s} s"));
+            }
+        }
+        let disobeyed = self.disobeyed.iter();
+        missed.extend(disobeyed.map(|m| format!("{m} was told to end and didn't")));
+        missed
+    }
+}
+
 fn start_cell(plan: Arc<CellPlan>, shared: Arc<Shared>) -> Result<Cell, RunError> {
     let (commands, receiver) = channel();
     let (ready, started) = channel();
--- a/src/core/front/mod.rs
+++ b/src/core/front/mod.rs
@@ -75,6 +75,8 @@
 /// Users wait 2 s for the answer to a question, and 5 s for other ones.
 const QUESTION_S: f64 = 1.5;
 const SUBMIT_S: f64 = 3.0;
+/// What a controller that hands over answers to those who would wait for it.
+const ABOUT_TO_END: &str = "this controller is about to end";
 /// Most requests of a kind that wait at once, as a share of the sockets. What comes on top
 /// is told when to come back.
 const WAITING_SHARE: f64 = 0.8;
@@ -106,6 +108,9 @@
         match ask {
             Request::Up => self.on_up(req),
             Request::Report(report) => self.on_report(req, report),
+            Request::Submit(_) if self.draining() => {
+                self.answer(req, Reply::later(503, 1, ABOUT_TO_END));
+            }
             Request::Submit(Ok((id, rec))) => self.on_submit(req, id, rec),
             Request::Submit(Err(bad)) => self.on_malformed(req, bad),
             Request::Poll(id) => self.on_question(req, id, Intent::Poll),
@@ -126,7 +131,7 @@
     fn on_up(&mut self, req: ReqId) {
         let alone = self.singled_out() || self.unheard();
         let reply = if self.draining() {
-            Reply::later(503, 1, "this controller is about to end")
+            Reply::later(503, 1, ABOUT_TO_END)
         } else if self.blind() && (!self.listed || alone) {
             Reply::later(503, 1, "the state service doesn't answer")
         } else {
--- a/src/core/placement/consolidation.rs
+++ b/src/core/placement/consolidation.rs
@@ -36,9 +36,8 @@
         // One that has been emptied stays closed: opened again, it drew the replicas of the next
         // one to be emptied, which then drew them back, without end.
         let emptied = |m: &Machine| open && m.closing && m.tasks.is_empty();
-        let changed = |(id, m): &(&MachineId, &Machine)| {
-            m.closing != (spare.contains(*id) || emptied(m))
-        };
+        let changed =
+            |(id, m): &(&MachineId, &Machine)| m.closing != (spare.contains(*id) || emptied(m));
         let changed = h.machines.iter().filter(changed);
         let changed: Vec<MachineId> = changed.map(|(id, _)| id.clone()).collect();
         for id in changed {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,13 @@
 //! The program: arguments, logging, exit codes. Everything else is in the library.
 
 use clap::Parser;
+use log::warn;
 use salttrestle::settings::Settings;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 /// A scheduler for rented fleets that serve language models.
 #[derive(Parser)]
@@ -23,6 +27,17 @@
     check: bool,
 }
 
+/// A flag that SIGTERM and SIGINT raise. Where signals can't be had, the process can only be killed.
+fn end_on_request() -> Arc<AtomicBool> {
+    let flag = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        if let Err(error) = signal_hook::flag::register(signal, flag.clone()) {
+            warn!("signal {signal} isn't heard: {error}");
+        }
+    }
+    flag
+}
+
 fn main() -> ExitCode {
     let args = Args::parse();
     let filter = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
@@ -44,7 +59,8 @@
         println!("settings are good");
         return ExitCode::SUCCESS;
     }
-    match salttrestle::net::run(settings, rand::random()) {
+    let end = end_on_request();
+    match salttrestle::net::run(settings, rand::random(), end) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("salttrestle: {error}");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,8 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddrV4, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const LISTEN: usize = 0;
@@ -62,10 +64,12 @@
     /// Connections on which workers reported.
     workers: usize,
     gauge: Gauge,
+    /// The process is told to end.
+    end: Arc<AtomicBool>,
 }
 
-/// Runs the service until the process is killed.
-pub fn run(settings: Settings, boot: u64) -> io::Result<()> {
+/// Runs the service until the process is killed or, once `end` is raised, has handed over.
+pub fn run(settings: Settings, boot: u64, end: Arc<AtomicBool>) -> io::Result<()> {
     let poller = Poller::new()?;
     let listener = listen(&poller, settings.platform.listen, LISTEN)?;
     let peer_listener = listen(&poller, settings.platform.peer_listen, PEER_LISTEN)?;
@@ -108,6 +112,7 @@
         inbound: 0,
         workers: 0,
         gauge: Gauge::new(Time(CLOCK_START_MS)),
+        end,
     };
     net.run()
 }
@@ -141,6 +146,10 @@
         let mut buf = vec![0; READ_CHUNK];
         loop {
             self.work();
+            if self.core.drained() {
+                info!("ends: everything is handed over");
+                return Ok(());
+            }
             let now = self.now();
             let wake = self.core.wake_at().min(self.sweep_at);
             let wait = Duration::from_millis(wake.0.saturating_sub(now.0));
@@ -167,6 +176,9 @@
         if now >= self.sweep_at {
             self.sweep_at = Time(now.0 + SWEEP_MS);
             self.sweep(now);
+            if self.end.load(Ordering::Relaxed) {
+                self.inputs.push_back(Input::Drain);
+            }
             self.tell_load(now);
         }
         while let Some(input) = self.inputs.pop_front() {
@@ -210,6 +222,9 @@
             if let Some(queue) = self.core.queue() {
                 info!("{queue}");
             }
+            if let Some(status) = self.core.standby_status() {
+                info!("{status}");
+            }
         }
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod checker;
 pub mod cloud;
 pub mod duties;
+pub mod orders;
 pub mod rate;
 pub mod store;
 pub mod user;
--- /dev/null
+++ b/standins/src/orders.rs
@@ -0,0 +1,77 @@
+//! Orders, judged by what the state service, the workers and the cloud saw of them: no start that
+//! wasn't committed for that machine before, none under a number that wasn't the worker's newest,
+//! no attempt that falls, and calls to the cloud by one leader after the other ([`Duties`]).
+
+use crate::duties::Duties;
+use salttrestle::core::records::RunRec;
+use salttrestle::ids::{Attempt, JobId, MachineId, TaskId};
+use std::collections::{HashMap, HashSet};
+
+/// Bits of an attempt that count the placements under one number.
+const COUNT_BITS: u32 = 28;
+
+/// The number under which an attempt was placed.
+pub fn number_of(attempt: Attempt) -> u64 {
+    attempt.0 >> COUNT_BITS
+}
+
+/// Judges orders. Times are in milliseconds.
+#[derive(Debug, Default)]
+pub struct Orders {
+    /// Calls to the cloud.
+    pub duties: Duties,
+    /// Numbers under which a block's record was written.
+    held: HashSet<u64>,
+    /// Where each attempt was committed to run.
+    committed: HashMap<(TaskId, Attempt), MachineId>,
+    /// The latest attempt of each task that reached a worker.
+    latest: HashMap<TaskId, Attempt>,
+    /// Starts of tasks that had been started before.
+    pub repeated: u64,
+    /// What was broken.
+    pub broken: Vec<String>,
+}
+
+impl Orders {
+    fn fault(&mut self, now: u64, what: String) {
+        self.broken.push(format!("{:.3} {what}", now as f64 / 1e3));
+    }
+
+    /// A block's record was written under a number.
+    pub fn held(&mut self, number: u64) {
+        self.held.insert(number);
+    }
+
+    /// A chunk of a job's placements was written.
+    pub fn committed(&mut self, job: &JobId, run: &RunRec) {
+        for (index, attempt, machine, ..) in &run.placed {
+            let (job, index) = (job.clone(), *index);
+            self.committed
+                .insert((TaskId { job, index }, *attempt), machine.clone());
+        }
+    }
+
+    /// A start has reached a worker that knows this number as the newest.
+    pub fn started(&mut self, now: u64, machine: &str, newest: u64, task: &TaskId, it: Attempt) {
+        let number = number_of(it);
+        if !self.held.contains(&number) {
+            self.fault(now, format!("start: {task} under {number}, never held"));
+        }
+        if number != newest {
+            let what = format!("start: {task} under {number} on a worker that knows {newest}");
+            self.fault(now, what);
+        }
+        let committed = self.committed.get(&(task.clone(), it));
+        if committed.is_none_or(|id| id.as_str() != machine) {
+            let what = format!("start: {task} on {machine}, committed for {committed:?}");
+            self.fault(now, what);
+        }
+        match self.latest.insert(task.clone(), it) {
+            Some(before) if before > it => {
+                self.fault(now, format!("start: {task} falls to an earlier attempt"));
+            }
+            Some(_) => self.repeated += 1,
+            None => {}
+        }
+    }
+}
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -65,6 +65,8 @@
 /// What happened to a task, in the order in which it happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskEvent {
+    /// A start was carried out: it waits for its image, or has it.
+    Accepted(TaskId, Attempt),
     /// It has its image and is on the machine from now on.
     Started(TaskId),
     /// It is no longer on the machine.
@@ -438,6 +440,7 @@
             until: now + fetch_ms,
         };
         self.tasks.insert(task.clone(), started);
+        events.push(TaskEvent::Accepted(task.clone(), attempt));
         if fetch_ms == 0 {
             self.image_ready(now, task, specs, events);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -290,7 +290,7 @@
         }
         "killed-at-most" => at_most(world.killed)?,
         "deleted-tasks-at-most" => at_most(world.deleted_tasks)?,
-        "replaced-at-most" => at_most(world.duties.replaced)?,
+        "replaced-at-most" => at_most(world.state.orders.duties.replaced)?,
         "failures-at-most" => at_most(world.met.failures)?,
         "sick-machines-at-most" => at_most(world.workers.values().filter(|w| w.sick).count())?,
         // So many of the machines that the scenario began with are still there.
--- a/tests/sim/nodes.rs
+++ b/tests/sim/nodes.rs
@@ -87,6 +87,12 @@
         if taken {
             self.note_takeover();
         }
+        let drained = |core: &Core| core.drained();
+        if self.nodes[n].core.as_ref().is_some_and(drained)
+            && let Some(down) = self.nodes[n].drain_down.take()
+        {
+            self.kill(n, down);
+        }
     }
 
     pub(super) fn output(&mut self, n: usize, boot: u64, output: Output) {
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -3,7 +3,7 @@
 use super::users::Intent;
 use super::world::{Args, Cut, Ev, Far, Node, Spec, World, arg, flag, ms, num};
 use ciborium::cbor;
-use salttrestle::core::Core;
+use salttrestle::core::{Core, Input};
 use salttrestle::ids::JobId;
 use salttrestle::wire;
 use salttrestle_standins::worker::TaskSpec;
@@ -67,6 +67,12 @@
                 let n = self.node_arg(&args[0]);
                 self.kill(n, ms(num(args, "down", 3.0)));
             }
+            // It is told to end, hands over, and comes back.
+            "drain" => {
+                let n = self.node_arg(&args[0]);
+                self.nodes[n].drain_down = Some(ms(num(args, "down", 3.0)));
+                self.feed(n, Input::Drain);
+            }
             // It ends, and comes back with settings that announce the limits to come.
             "upgrade" => {
                 let n = self.node_arg(&args[0]);
--- a/tests/sim/services.rs
+++ b/tests/sim/services.rs
@@ -67,13 +67,14 @@
             _ => None,
         });
         let leader = leader.as_ref().map(|(n, member)| (*n, member.as_str()));
-        self.duties.leader_is(leader);
+        self.state.orders.duties.leader_is(leader);
     }
 
     pub(super) fn note_duty(&mut self, n: usize, op: &CloudOp) {
         let several = self.state.store.entries.contains_key("s/own/block/1");
         if !several && matches!(op, CloudOp::Rent(_) | CloudOp::Delete(_)) {
-            self.duties.cloud_changed(self.now, &self.members[n]);
+            let duties = &mut self.state.orders.duties;
+            duties.cloud_changed(self.now, &self.members[n]);
         }
     }
 
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -5,6 +5,7 @@
 use salttrestle::ids::CallId;
 use salttrestle::settings::NextStateLimits;
 use salttrestle::wire::{Change, StateOp, StateReply, Write, record_value};
+use salttrestle_standins::orders::Orders;
 use salttrestle_standins::rate::RateLimit;
 use salttrestle_standins::store::{self, CommitOutcome, Store};
 
@@ -30,6 +31,8 @@
     pub limited: usize,
     /// Requests that went beyond a limit of size, or that lack a condition on what they rest on.
     pub defects: Vec<String>,
+    /// Judges orders by what was committed before.
+    pub orders: Orders,
 }
 
 /// Changes that the state service keeps for followers.
@@ -49,6 +52,7 @@
             rejected: 0,
             limited: 0,
             defects: Vec::new(),
+            orders: Orders::default(),
         }
     }
 
@@ -165,7 +169,10 @@
             .store
             .commit(&conditions, writes.iter().map(stored).collect())
         {
-            CommitOutcome::Committed(revision) => StateReply::Committed { revision },
+            CommitOutcome::Committed(revision) => {
+                self.note_committed(writes);
+                StateReply::Committed { revision }
+            }
             CommitOutcome::NoSuchLease => StateReply::NoGrant,
             CommitOutcome::Conflict(failed) => StateReply::Conflict {
                 failed: failed.iter().filter_map(|path| Key::parse(path)).collect(),
@@ -174,6 +181,25 @@
     }
 }
 
+impl StateService {
+    fn note_committed(&mut self, writes: &[Write]) {
+        for write in writes {
+            match write {
+                Write::Put {
+                    record: Record::Block(block),
+                    ..
+                } => self.orders.held(block.number.0),
+                Write::Put {
+                    key: Key::Run(job, _),
+                    record: Record::Run(run),
+                    ..
+                } => self.orders.committed(job, run),
+                _ => {}
+            }
+        }
+    }
+}
+
 /// A change as a follower gets it.
 fn change(change: &store::Change<Record>) -> Option<Change> {
     let key = Key::parse(&change.path)?;
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -391,7 +391,7 @@
             "cancelled-at-end" => self.met.cancelled_at_end,
             "takeovers" => self.met.takeovers.iter().filter(|at| within(at)).count(),
             // Leaders whose record stood as the next one replaced it.
-            "replaced" => self.duties.replaced,
+            "replaced" => self.state.orders.duties.replaced,
             "cancels" => jobs.filter_map(|j| j.cancel_asked).filter(within).count(),
             "confirmed" => jobs
                 .filter_map(|j| j.told.withdrawn_at)
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -76,6 +76,11 @@
         let now = self.now;
         for event in events {
             match event {
+                TaskEvent::Accepted(task, attempt) => {
+                    let newest = self.workers[id].number;
+                    let orders = &mut self.state.orders;
+                    orders.started(now, id, newest, &task, attempt);
+                }
                 TaskEvent::Started(task) => {
                     let w = &self.workers[id];
                     let place = Place {
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -14,7 +14,6 @@
 use salttrestle::wire::{ClassInfo, CloudOp, StateOp};
 use salttrestle_standins::checker::Checker;
 use salttrestle_standins::cloud::Cloud;
-use salttrestle_standins::duties::Duties;
 use salttrestle_standins::worker::{TaskSpec, Worker};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -93,6 +92,8 @@
     /// It stands still until then, while its clock runs on.
     pub(super) frozen_until: u64,
     pub(super) woken_for: u64,
+    /// It was told to end, and comes back after so long.
+    pub(super) drain_down: Option<u64>,
     /// Whether its settings announce the limits to come. Before, it acts as the version that
     /// knew nothing of them: it accepts jobs whose records outgrow these.
     pub(super) announced: bool,
@@ -119,7 +120,6 @@
     pub cloud: Cloud,
     pub workers: BTreeMap<String, Worker>,
     pub checker: Checker,
-    pub duties: Duties,
     pub specs: HashMap<JobId, Spec>,
     pub(super) origins: HashMap<u64, (Origin, usize)>,
     pub(super) next_req: u64,
@@ -254,6 +254,7 @@
             refused_until: 0,
             frozen_until: 0,
             woken_for: 0,
+            drain_down: None,
             announced: one("next").is_some_and(|l| !flag(l, "later")),
         });
         let mut world = Self {
@@ -278,7 +279,6 @@
             cloud,
             workers: BTreeMap::new(),
             checker: Checker::new(ms(cancel), limits),
-            duties: Duties::default(),
             specs: HashMap::new(),
             origins: HashMap::new(),
             next_req: 0,
@@ -363,8 +363,10 @@
         self.checker.check_end(now);
         let defects = std::mem::take(&mut self.state.defects);
         self.checker.broken.extend(defects);
-        let duties = std::mem::take(&mut self.duties.broken);
-        self.checker.broken.extend(duties);
+        let orders = &mut self.state.orders;
+        let duties = std::mem::take(&mut orders.duties.broken);
+        let wrong = std::mem::take(&mut orders.broken);
+        self.checker.broken.extend(duties.into_iter().chain(wrong));
     }
 
     /// What reaches a node that stands still waits for it.
