--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -590,10 +590,10 @@
         let orders = &watch.orders;
         let wrong = orders.broken.iter().chain(&orders.duties.broken);
         broken.extend(wrong.take(BROKEN_MAX).cloned());
-        info!(
-            "{} tasks were started again, {} records of leaders were replaced",
-            orders.repeated, orders.duties.replaced
-        );
+        info!("{} tasks were started again", orders.repeated);
+        for repeat in orders.repeats.iter().take(BROKEN_MAX) {
+            info!("started again: {repeat}");
+        }
         drop(watch);
         RunRow {
             name: self.experiment.name.clone(),
--- a/src/gauge.rs
+++ b/src/gauge.rs
@@ -12,6 +12,26 @@
 const LONGEST_US: u64 = 60_000_000;
 const DIGITS: u8 = 2;
 
+/// What was sent over connections of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    messages: u64,
+    bytes: u64,
+}
+
+impl Sent {
+    fn add(&mut self, bytes: usize) {
+        self.messages += 1;
+        self.bytes += bytes as u64;
+    }
+
+    fn line(self, passed_s: f64) -> String {
+        let messages = self.messages as f64 / passed_s;
+        let kilobytes = self.bytes as f64 / 1000.0 / passed_s;
+        format!("{messages:.1} messages and {kilobytes:.2} KB a second")
+    }
+}
+
 pub struct Gauge {
     /// Time that one input took, in microseconds.
     steps: Histogram<u32>,
@@ -20,6 +40,9 @@
     /// Answers by which the state service or the cloud refused a call.
     refused: u32,
     queued: usize,
+    /// To other controllers of this cell, and to those of other cells.
+    to_siblings: Sent,
+    to_cells: Sent,
     before: Load,
     since: Time,
 }
@@ -35,6 +58,8 @@
             commits: histogram(),
             refused: 0,
             queued: 0,
+            to_siblings: Sent::default(),
+            to_cells: Sent::default(),
             before: Load::default(),
             since: now,
         }
@@ -52,6 +77,16 @@
         self.refused += 1;
     }
 
+    /// A message was sent to a sibling.
+    pub fn sent_to_sibling(&mut self, bytes: usize) {
+        self.to_siblings.add(bytes);
+    }
+
+    /// A message was sent to a controller of another cell.
+    pub fn sent_to_cell(&mut self, bytes: usize) {
+        self.to_cells.add(bytes);
+    }
+
     /// The line for the time since the last one, when it is due.
     pub fn line(&mut self, now: Time, load: &Load, sockets: usize, most: usize) -> Option<String> {
         self.queued = self.queued.max(load.queued);
@@ -66,7 +101,7 @@
             "load: {:.0} steps/s of {:.2} ms ({:.2} at p99, {:.1} at most); commits {:.0} ms \
              ({:.0} at p99); {:.1} of {:.0} requests, {:.1} of {:.0} changes, {:.2} of {:.1} cloud \
              calls a second; {} refused; {} writes queued at most; {} machines looked at for {} tasks \
-             placed; {sockets} of {most} sockets",
+             placed; {sockets} of {most} sockets; {} to siblings, {} to other cells",
             steps.len() as f64 / passed,
             steps.mean() / 1000.0,
             ms(steps.value_at_quantile(0.99)),
@@ -83,10 +118,13 @@
             self.queued,
             load.looked - b.looked,
             load.placed - b.placed,
+            self.to_siblings.line(passed),
+            self.to_cells.line(passed),
         );
         self.steps.reset();
         self.commits.reset();
         (self.refused, self.queued) = (0, 0);
+        (self.to_siblings, self.to_cells) = (Sent::default(), Sent::default());
         (self.before, self.since) = (load.clone(), now);
         Some(line)
     }
--- a/src/net/cells.rs
+++ b/src/net/cells.rs
@@ -52,7 +52,9 @@
             let Some(key) = self.cell_link(address) else {
                 continue;
             };
-            if !self.send(key, &bytes) {
+            if self.send(key, &bytes) {
+                self.gauge.sent_to_cell(bytes.len());
+            } else {
                 self.close(key);
             }
         }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -87,6 +87,7 @@
                 }
             };
             if self.send(key, bytes) {
+                self.gauge.sent_to_sibling(bytes.len());
                 // A connection that was made at once takes all of the first message, and never
                 // becomes writable again: its sibling stayed down for good after a restart.
                 self.check_link(key);
--- a/standins/src/orders.rs
+++ b/standins/src/orders.rs
@@ -28,6 +28,8 @@
     latest: HashMap<TaskId, Attempt>,
     /// Starts of tasks that had been started before.
     pub repeated: u64,
+    /// When, of what, and the attempts.
+    pub repeats: Vec<String>,
     /// What was broken.
     pub broken: Vec<String>,
 }
@@ -70,7 +72,14 @@
             Some(before) if before > it => {
                 self.fault(now, format!("start: {task} falls to an earlier attempt"));
             }
-            Some(_) => self.repeated += 1,
+            Some(before) => {
+                self.repeated += 1;
+                let at_s = now as f64 / 1e3;
+                self.repeats.push(format!(
+                    "{at_s:.3} {task} on {machine}: {:#x}, before {:#x}",
+                    it.0, before.0
+                ));
+            }
             None => {}
         }
     }
