No limit below 4,000 machines: lists of many pages, reports handed on at once

Found by going through every bound: a list of machines whose next page met an empty cloud budget was begun anew, so that with 6 calls a second a list of 8 pages (4,000 machines) might never end, and a new leader rents nothing before it has listed. What may wait to be written to a sibling was 512 KiB; all workers of a controller may have reports handed on at once as a new holder appears, so it follows from the sockets (4 KiB each). Messages and settings of the standby are tested with bad input.

--- a/src/core/autoscaler/machines.rs
+++ b/src/core/autoscaler/machines.rs
@@ -20,6 +20,9 @@
     /// The leader lists machines to find those nobody expected; with several blocks,
     /// the other holders list them, less often, to learn what became of their own.
     pub(super) fn list_machines(&mut self) {
+        if let Some(so_far) = self.list_rest.take() {
+            return self.list_on(so_far);
+        }
         let lag = self.settings.platform.facts.cloud.list_lag_s.max(2.0);
         let pause = if self.lead.is_some() { lag } else { 2.0 * lag };
         if self.listing || self.now < self.list_at || self.blind() {
@@ -38,12 +41,9 @@
             return;
         };
         so_far.extend(machines);
-        let last = so_far.last().map(|l| MachineId::from(l.id.as_str()));
-        if let (true, Some(last)) = (more, last) {
-            let op = CloudOp::List { after: Some(last) };
-            let purpose = CloudPurpose::List(so_far);
-            self.listing = self.cloud_call(op, purpose, Priority::Usual);
-            return;
+        let last = so_far.last();
+        if more && last.is_some() {
+            return self.list_on(so_far);
         }
         let lag = self.settings.platform.facts.cloud.list_lag_s;
         let (now, settled_s) = (self.now, LISTED_LAGS * lag + REPEAT_S);
@@ -63,6 +63,19 @@
         }
     }
 
+    /// Asks for the next page, now or as soon as the budget allows. Begun anew instead, a list of
+    /// more pages than the budget holds calls never came to its end, and nothing was rented.
+    fn list_on(&mut self, so_far: Vec<Listed>) {
+        let after = so_far.last().map(|l| MachineId::from(l.id.as_str()));
+        let op = CloudOp::List { after };
+        self.listing = true;
+        if !self.cloud_budget.has(self.now, 1.0, Priority::Usual) {
+            self.list_rest = Some(so_far);
+            return;
+        }
+        self.cloud_call(op, CloudPurpose::List(so_far), Priority::Usual);
+    }
+
     /// Machines that never come up are paid for until they are deleted. That is long after
     /// they were replaced: on a night on which all boots took several times as long, each was
     /// deleted shortly before it was up, and rented anew.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -288,6 +288,8 @@
     relays: relay::Relays,
     counts_at: Time,
     listing: bool,
+    /// The pages of a list of machines of which the next one waits for the budget.
+    list_rest: Option<Vec<Listed>>,
     list_at: Time,
     /// The revision of the plan that was carried out here.
     plan_seen: u64,
@@ -354,6 +356,7 @@
             relays: relay::Relays::default(),
             counts_at: Time(0),
             listing: false,
+            list_rest: None,
             list_at: Time(0),
             plan_seen: 0,
             worker_heard: Time(0),
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -6,7 +6,7 @@
 use crate::core::Link;
 use crate::http::{Decoder, Side};
 use crate::ids::{CallId, Member, ReqId, Time};
-use crate::{peer, wire};
+use crate::wire;
 use log::{debug, warn};
 use polling::{Event, PollMode};
 use socket2::{Domain, Socket, Type};
@@ -21,7 +21,6 @@
 pub(super) const WORKER_SHARE: f64 = 0.75;
 /// Most bytes that wait to be written to one connection.
 const OUT_MAX: usize = 1 << 20;
-const PEER_OUT_MAX: usize = 2 * peer::MESSAGE_MAX;
 const CELL_OUT_MAX: usize = 2 * salttrestle_cells::message::MESSAGE_MAX;
 /// Quiet connections are closed after this time, or sooner when sockets are short.
 const IDLE_S: f64 = 90.0;
@@ -291,7 +290,7 @@
             return false;
         };
         let most = match conn.role {
-            Role::PeerOut { .. } => PEER_OUT_MAX,
+            Role::PeerOut { .. } => self.settings.sibling_out_bytes(),
             Role::CellOut { .. } => CELL_OUT_MAX,
             _ => OUT_MAX,
         };
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -1,6 +1,7 @@
 //! Figures that follow from the settings: times, shares and counts.
 
 use super::{Settings, StrictestLimits};
+use crate::peer::MESSAGE_MAX;
 use salttrestle_standby::Config;
 
 /// Processor time that a holder spends on one report, with all that follows from it, in
@@ -26,6 +27,8 @@
 const HOLD_MOST: f64 = 0.65;
 /// For the time that messages take, and late timers.
 const SILENT_MARGIN: f64 = 1.2;
+/// A report with a hundred tasks, as it is handed on to a sibling.
+const RELAYED_REPORT_BYTES: usize = 4 * 1024;
 /// Sockets of each controller that aren't for workers.
 const OTHER_SOCKETS: usize = 100;
 
@@ -40,6 +43,13 @@
         self.tuning.standby()
     }
 
+    /// Most bytes that wait to be written to one sibling. All workers that one controller has
+    /// connections for may have reports handed on at once, as a new holder appears.
+    pub fn sibling_out_bytes(&self) -> usize {
+        let sockets = self.platform.facts.resources.max_sockets;
+        (2 * MESSAGE_MAX).max(sockets * RELAYED_REPORT_BYTES)
+    }
+
     /// Machines that one holder can serve with all of its processor.
     fn machines_a_holder(&self) -> f64 {
         let f = &self.platform.facts;
--- a/tests/malformed.rs
+++ b/tests/malformed.rs
@@ -371,6 +371,7 @@
     let mut other_version = vec![0, 0, 0, 1, 99, 9];
     assert_eq!(peer::unframe(&mut other_version), Ok(None));
     assert!(other_version.is_empty(), "another version is passed over");
+    standby_messages();
     // A message that no sibling would take is refused here, not cut off.
     let large = peer::Message::RelayedAnswer(peer::RelayedAnswer {
         boot: 1,
@@ -486,12 +487,93 @@
     assert_eq!((usual.blocks_for(10), usual.blocks_for(500)), (0, 1));
     assert_eq!(usual.blocks_for(1000), 2);
     assert_eq!(usual.ceiling(), 800, "two controllers' sockets");
+    // All workers of a controller that has 4,000 sockets report as a new holder appears.
+    let large = settings("1.0", "4000");
+    let report =
+        peer::RelayedReport::new(&"n".into(), 7, salttrestle::ids::ReqId(3), &report_of(96));
+    let report = peer::frame(&peer::Message::RelayedReport(Box::new(report)));
+    let report = report.expect("short enough").len();
+    assert!(large.sibling_out_bytes() >= 4000 * report, "{report} bytes");
+    assert_eq!(usual.sibling_out_bytes(), 500 * 4096);
     let slow = settings("0.01", "500");
     assert_eq!(slow.blocks_for(100), 2, "no smaller than is worth it");
     assert_eq!(slow.ceiling(), 266, "two controllers' processors");
     assert!(Platform::parse(&PLATFORM.replace("\"cpu\":0.1", "\"cpu\":0"), "f").is_err());
 }
 
+/// A report of a machine with so many tasks.
+fn report_of(tasks: usize) -> wire::Report {
+    let task = |index: usize| wire::ReportTask {
+        task: format!("wk-000398/{index}"),
+        attempt: salttrestle::ids::Attempt::new(salttrestle::ids::Number(90), index as u64),
+        stance: wire::TaskStance::Running,
+        cause: None,
+    };
+    wire::Report {
+        machine: "i-000231".into(),
+        endpoint: "10.1.0.232:9000".into(),
+        class: "g8".into(),
+        zone: "port-of-spain".into(),
+        spot: false,
+        session: 1,
+        seq: 88,
+        number: 90,
+        notice_s: None,
+        tasks: (0..tasks).map(task).collect(),
+    }
+}
+
+/// Messages of the standby travel in frames of their own version; bad ones close the link.
+fn standby_messages() {
+    use salttrestle_standby::hints::{Hints, ImageHint, MachineHint};
+    use salttrestle_standby::message::{Heartbeat, StandbyMessage};
+    let framed = |message: &StandbyMessage| {
+        let message = peer::Message::Standby(Box::new(message.clone()));
+        peer::frame(&message).expect("short enough")
+    };
+    let heartbeat = StandbyMessage::Heartbeat(Heartbeat {
+        from: "n1".into(),
+        boot: 7,
+        number: 41,
+        leads: true,
+        lost: false,
+    });
+    let mut bytes = framed(&heartbeat);
+    assert_eq!(bytes, [0, 0, 0, 8, 5, 0, 2, b'n', b'1', 7, 41, 1, 0]);
+    let read = peer::unframe(&mut bytes).expect("well formed");
+    assert_eq!(read, Some(peer::Message::Standby(Box::new(heartbeat))));
+    let malformed = vec![0, 0, 0, 2, 5, 9, 9];
+    assert!(peer::unframe(&mut malformed.clone()).is_err(), "no message");
+    let good = Hints {
+        from: "n1".into(),
+        number: 41,
+        images: vec![ImageHint {
+            name: "img-1".into(),
+            gb: 6.5,
+        }],
+        machines: vec![MachineHint {
+            id: "i-1".into(),
+            images: vec![0],
+        }],
+        ..Hints::default()
+    };
+    assert!(peer::unframe(&mut framed(&StandbyMessage::Hints(good.clone()))).is_ok());
+    let spoil: [fn(&mut Hints); 6] = [
+        |h| h.images[0].gb = f64::NAN,
+        |h| h.estimates.boots = vec![("g8".into(), -1.0)],
+        |h| h.estimates.bursts = vec![("g8".into(), true, f64::INFINITY)],
+        |h| h.machines[0].images = vec![1],
+        |h| h.machines[0].id = "i".repeat(300),
+        |h| h.machines = vec![MachineHint::default(); 257],
+    ];
+    for (n, spoil) in spoil.iter().enumerate() {
+        let mut hints = good.clone();
+        spoil(&mut hints);
+        let mut bytes = framed(&StandbyMessage::Hints(hints));
+        assert!(peer::unframe(&mut bytes).is_err(), "spoilt in way {n}");
+    }
+}
+
 #[test]
 fn properties() {
     let defaults = Tuning::parse(None).expect("good defaults");
@@ -514,6 +596,15 @@
         ("block.cpu = 0", "block.cpu"),
         ("scale.ceiling = -1", "scale.ceiling"),
         ("scale.tick-s = \\uZZZZ", "(file)"),
+        ("standby.heartbeat-s = 0.9", "standby.heartbeat-s"),
+        ("standby.heartbeat-s = 0", "standby.heartbeat-s"),
+        ("leader.grant-s = 1.5", "standby.heartbeat-s"),
+        ("standby.missed = 1", "standby.missed"),
+        ("standby.hints-s = -1", "standby.hints-s"),
+        (
+            "standby.takeovers-per-minute = 0",
+            "standby.takeovers-per-minute",
+        ),
     ] {
         let error = Tuning::parse(Some(("o.properties", text))).expect_err(text);
         assert_eq!(
--- a/tests/sim/world.rs
+++ b/tests/sim/world.rs
@@ -209,7 +209,7 @@
             "workers": {"report_s": report, "lease_s": lease, "cancel_s": cancel},
             "state": {"rps": num(state, "rps", 150.0), "write_rps": num(state, "write", 60.0),
                       "value_kb": kb, "txn_ops": ops},
-            "cloud": {"rps": 4.0, "list_lag_s": lag},
+            "cloud": {"rps": value("cloud", 4.0), "list_lag_s": lag},
             "resources": {"cpu": 0.1, "mem_mb": 56.0, "max_sockets": 500}
         });
         let members: Vec<String> = (0..count).map(|n| format!("node-{n}")).collect();
