--- a/src/core/follow.rs
+++ b/src/core/follow.rs
@@ -1,6 +1,10 @@
 //! Following the state service: one listing, then every change.
 
-use super::*;
+use super::jobs::Event;
+use super::records::LIST_AFTER;
+use super::{Core, Output, Priority, Purpose, RETRY_S, Sync};
+use crate::ids::Time;
+use crate::wire::{StateOp, StateReply};
 
 /// A follow that hasn't brought a revision known to exist for this long hangs.
 const FOLLOW_STUCK_S: f64 = 1.5;
--- a/src/core/freshness.rs
+++ b/src/core/freshness.rs
@@ -1,7 +1,9 @@
 //! How fresh the knowledge of the state service is: reads of the present revision, and whether
 //! a controller is blind.
 
-use super::*;
+use super::{BLIND_S, Core, Priority, Purpose, RETRY_S};
+use crate::ids::CallId;
+use crate::wire::{StateOp, StateReply};
 
 /// Shortest pause between two reads of the present revision, and the share of its requests
 /// that a controller reads it with for users who ask. With that and the follow's share, some
--- a/src/core/heartbeats.rs
+++ b/src/core/heartbeats.rs
@@ -1,6 +1,8 @@
 //! Heartbeats between controllers, and what they tell of who runs and who holds what.
 
-use super::*;
+use super::{BLIND_S, Core, HEARD_S, Output};
+use crate::ids::{MachineId, Member, Time};
+use crate::peer::{Hello, Message};
 
 /// Siblings say hello every second; one that has missed two is taken to be down.
 const HEARTBEAT_LOST_S: f64 = 2.2;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,11 +21,13 @@
 mod front;
 mod heartbeats;
 pub mod holder;
+mod interface;
 pub mod jobs;
 mod needs;
 mod placement;
 pub mod records;
 mod relay;
+mod sibling_links;
 mod standby;
 mod team_limits;
 mod workers;
@@ -38,124 +40,12 @@
 use budget::{Bucket, Priority};
 use change_meter::ChangeMeter;
 use holder::Holder;
-use jobs::{Cache, Event};
+pub use interface::{Input, Link, Load, Output, Queue, Reply, Request};
+use jobs::Cache;
 use records::*;
-use salttrestle_cells::Cell;
-use salttrestle_cells::message::LinkMessage;
 use salttrestle_standby::Standby;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-#[derive(Debug)]
-pub enum Request {
-    Submit(Result<(JobId, JobRec), BadBody>),
-    Poll(JobId),
-    Cancel(JobId),
-    Up,
-    Report(Report),
-}
-
-#[derive(Debug)]
-pub enum Input {
-    Request(ReqId, Request),
-    /// Whoever asked has gone.
-    Disconnect(ReqId),
-    State(CallId, StateReply),
-    Cloud(CallId, CloudReply),
-    Peer(Message),
-    /// Another cell's leader tells how things stand there.
-    Cell(LinkMessage),
-    /// What became of this controller's own connection to a sibling.
-    Link(Member, Link),
-    /// The process is told to end, and hands over first.
-    Drain,
-    /// Time has passed.
-    Tick,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Reply {
-    pub status: u16,
-    pub body: Vec<u8>,
-    pub retry_after: Option<u32>,
-}
-
-impl Reply {
-    pub fn ok(status: u16, body: Vec<u8>) -> Self {
-        Self {
-            status,
-            body,
-            retry_after: None,
-        }
-    }
-
-    /// A refusal that says when to come back.
-    pub fn later(status: u16, seconds: u32, why: &str) -> Self {
-        Self {
-            status,
-            body: error_body(why),
-            retry_after: Some(seconds),
-        }
-    }
-}
-
-/// A connection to a sibling.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Link {
-    Up,
-    Lost,
-    Refused,
-}
-
-#[derive(Debug)]
-pub enum Output {
-    Answer(ReqId, Reply),
-    State(CallId, StateOp),
-    /// Nobody waits for this call any more; its connection is closed.
-    Forget(CallId),
-    Cloud(CallId, CloudOp),
-    /// To one sibling, or to all.
-    Peer(Option<Member>, Message),
-    /// To the leader of another cell.
-    Cell(Cell, LinkMessage),
-}
-
-/// What this controller has used of its shares of the limits, in all, and what of it
-/// waits to be written.
-#[derive(Clone, Debug, Default)]
-pub struct Load {
-    pub requests: f64,
-    pub requests_rate: f64,
-    pub changes: f64,
-    pub changes_rate: f64,
-    pub cloud: f64,
-    pub cloud_rate: f64,
-    pub queued: usize,
-    /// Machines looked at to place tasks, and tasks placed.
-    pub looked: u64,
-    pub placed: u64,
-}
-
-/// What waits in the blocks that this controller holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Queue {
-    /// Jobs that wait until others are done.
-    pub waiting_for_others: usize,
-    /// Jobs with tasks that wait for a machine.
-    pub waiting_for_room: usize,
-    /// Tasks that wait for a machine.
-    pub tasks: usize,
-}
-
-impl std::fmt::Display for Queue {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "queue: {} jobs wait for others, {} tasks of {} jobs for a machine",
-            self.waiting_for_others, self.tasks, self.waiting_for_room
-        )
-    }
-}
-
 /// What a call to the state service is for.
 #[derive(Debug)]
 pub(crate) enum Purpose {
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -13,9 +13,12 @@
 //! only once every task is proven gone (`front`), so no bound runs against a worker
 //! that nobody with sight of the state service reaches.
 
-use super::*;
-use crate::peer::{RelayedAnswer, RelayedReport};
+use super::{Core, Output, Reply, blocks};
+use crate::ids::{MachineId, Member, Number, ReqId, TaskId, Time};
+use crate::peer::{Hello, Message, RelayedAnswer, RelayedReport};
 use crate::settings::Sibling;
+use crate::wire::{Command, Report, TaskStance, commands_body, steer_body};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// A report whose machine's holder is down.
 #[derive(Debug)]
@@ -38,7 +41,7 @@
 const RELAY_TASKS: usize = 200;
 /// A holder that refuses connections for this much longer than a takeover takes isn't
 /// down: only the controllers can't reach it, and workers are sent there.
-const TAKEOVER_S: f64 = 1.5;
+pub(super) const TAKEOVER_S: f64 = 1.5;
 /// Pause between two workers sent home to a controller that hears no worker yet.
 const TRIAL_PAUSE_S: f64 = 2.0;
 
@@ -78,9 +81,9 @@
     /// Reports that wait until there is somebody to send their workers to.
     lost: VecDeque<LostReport>,
     /// Siblings to whom no connection can be made, and since when they refuse it.
-    down: BTreeMap<Member, Option<Time>>,
+    pub(super) down: BTreeMap<Member, Option<Time>>,
     /// When this process last answered in a holder's place; at first its start.
-    sheltered: Option<Time>,
+    pub(super) sheltered: Option<Time>,
     trials: BTreeMap<Member, Time>,
     /// Workers sent to a safer controller of this zone, and when.
     sent_away: BTreeMap<MachineId, Time>,
@@ -331,8 +334,6 @@
         }
     }
 
-    // ---- siblings
-
     /// A sibling hands on a report of one of its workers.
     pub(crate) fn on_relayed_report(&mut self, relayed: RelayedReport) {
         if !self.is_sibling(&relayed.from) {
@@ -394,96 +395,4 @@
         self.relays.lost.retain(|l| l.req != req);
         self.relays.out.remove(&req);
     }
-
-    /// Whether a connection to a sibling could be made, or was refused.
-    pub(crate) fn on_link(&mut self, member: Member, link: Link) {
-        if link != Link::Up {
-            self.standby.on_disconnected(self.now.0, member.as_str());
-        }
-        match link {
-            Link::Up => {
-                self.relays.down.remove(&member);
-            }
-            Link::Lost => {
-                self.relays.down.entry(member).or_insert(None);
-            }
-            Link::Refused => {
-                let since = self.relays.down.entry(member).or_insert(None);
-                since.get_or_insert(self.now);
-            }
-        }
-    }
-
-    /// Whether messages reach a sibling, as far as is known.
-    fn linked(&self, member: &Member) -> bool {
-        self.heartbeat_fresh(member) && !self.relays.down.contains_key(member)
-    }
-
-    /// Whether a holder runs, since its record stands, while it refuses connections
-    /// from here: a filter between the controllers, which its workers may pass.
-    fn shut_off(&self, holder: &Member) -> bool {
-        let patience = self.settings.tuning.grant_s + TAKEOVER_S;
-        let refused = self.relays.down.get(holder).copied().flatten();
-        !self.blind() && refused.is_some_and(|since| self.now.since(since) > patience)
-    }
-
-    /// Whether this controller can hand reports on: to itself, or to who leads.
-    pub(crate) fn relays(&self) -> bool {
-        let leader = self.cache.leader.rec.as_ref().map(|l| l.member.clone());
-        let here = leader.as_ref() == Some(&self.settings.platform.member);
-        here || leader.is_some_and(|l| self.linked(&l))
-    }
-
-    /// How long ago this process last answered in a holder's place or, if it never
-    /// did, began: an earlier process may have.
-    pub(crate) fn sheltered_ms(&self) -> u64 {
-        let last = self.relays.sheltered.unwrap_or(self.now);
-        self.now.0.saturating_sub(last.0)
-    }
-
-    pub(crate) fn note_start(&mut self) {
-        let now = self.now;
-        self.relays.sheltered.get_or_insert(now);
-    }
-
-    /// Whether every other controller of a zone has said, after `over`, that it had
-    /// kept no worker alive for a whole lease. What it did since doesn't matter: by
-    /// then the lease that ended at `over` had ended, and nothing revives it.
-    pub(crate) fn nobody_sheltered(&self, zone: &str, over: Time, lease_s: f64) -> bool {
-        let siblings = self.settings.platform.siblings.iter();
-        // One whose zone isn't known may be of any.
-        let mut local = siblings.filter(|s| s.site == zone || s.site.is_empty());
-        local.all(|s| {
-            let Some((hello, _)) = self.siblings.get(&s.member) else {
-                return false;
-            };
-            let me = &self.settings.platform.member;
-            let mut echoes = hello.echoes.iter();
-            let echo = echoes.find(|(m, boot, _)| m == me && *boot == self.boot);
-            let after = echo.is_some_and(|(_, _, at)| Time(*at) >= over);
-            after && hello.sheltered_ms as f64 / 1000.0 >= lease_s
-        })
-    }
-
-    /// Whether a sibling is heard of, and hears workers.
-    pub(crate) fn hears(&self, member: &Member) -> bool {
-        let hello = self.siblings.get(member).map(|(h, _)| h);
-        self.linked(member) && hello.is_some_and(|h| h.heard)
-    }
-
-    /// Whether a zone's controllers besides this one are all heard of, and hear workers.
-    pub(crate) fn zone_heard(&self, zone: &str) -> bool {
-        let mut local = self.siblings_in(zone).peekable();
-        local.peek().is_some() && local.all(|s| self.hears(&s.member))
-    }
-
-    /// Whether a zone has a controller besides this one, which may shelter its workers.
-    pub(crate) fn has_shelter(&self, zone: &str) -> bool {
-        self.siblings_in(zone).next().is_some()
-    }
-
-    fn siblings_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Sibling> {
-        let siblings = self.settings.platform.siblings.iter();
-        siblings.filter(move |s| s.site == zone)
-    }
 }
