--- a/src/core/standby.rs
+++ b/src/core/standby.rs
@@ -80,7 +80,10 @@
         if before.is_some() != self.leader_suspected {
             self.leader_suspected = before.is_some();
             match before {
-                Some(why) => info!("the leader is suspected: {why:?}"),
+                Some(why) => match self.standby.may_replace(self.now.0) {
+                    Ok(()) => info!("the leader is suspected: {why:?}"),
+                    Err(hold) => info!("the leader is suspected: {why:?}; as yet {hold:?}"),
+                },
                 None => info!("the leader isn't suspected any more"),
             }
         }
--- a/standby/src/standby.rs
+++ b/standby/src/standby.rs
@@ -233,9 +233,4 @@
             lost,
         })
     }
-
-    /// When `tick` next has something to send at the latest.
-    pub fn wake_at(&self) -> Option<Millis> {
-        self.config.enabled().then_some(self.next_heartbeat)
-    }
 }
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -3,7 +3,8 @@
 //! needs a form that still reads the old bytes, or a new version of the messages.
 //!
 //! The bytes are those that commit 2175c80, in production before the upgrade to pipelines, writes
-//! and sends, but for [`RUN_PART`], which is newer.
+//! and sends, but for [`RUN_PART`] and those of the standby ([`FENCED_LEADER`], [`FENCED_NUMBER`],
+//! [`HEARTBEAT`], [`HINTS`]), which are newer.
 
 use ciborium::cbor;
 use salttrestle::core::chunks::{ChunkLayout, effective_runs};
@@ -13,6 +14,9 @@
     self, BlockCounts, Hello, Message, PoolCount, RelayedAnswer, RelayedReport, TeamCount,
 };
 use salttrestle::wire::{self, Cause, Num, Report, ReportTask, TaskStance};
+use salttrestle_standby::fence::Fence;
+use salttrestle_standby::hints::{Estimates, Hints, ImageHint, MachineHint};
+use salttrestle_standby::message::{Heartbeat, StandbyMessage};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::fmt::Debug;
@@ -82,11 +86,24 @@
         fenced_ms: None,
     };
     check_record(&leader, LEADER);
+    let fenced = LeaderRec {
+        fenced_ms: Some(3000),
+        ..leader
+    };
+    check_record(&fenced, FENCED_LEADER);
     let number = NumberRec {
         highest: Number(42),
         fence: None,
     };
     check_record(&number, NUMBER);
+    let fenced = NumberRec {
+        fence: Some(Fence {
+            number: 41,
+            ms: 3000,
+        }),
+        ..number
+    };
+    check_record(&fenced, FENCED_NUMBER);
     let block = BlockRec {
         holder: member(),
         boot: 7,
@@ -241,11 +258,41 @@
         teams: vec![("vision".into(), TeamCount::default())],
     };
     check_message(&Message::BlockCounts(Box::new(block_counts)), TALLY);
+    let standby = |message| Message::Standby(Box::new(message));
+    let heartbeat = StandbyMessage::Heartbeat(Heartbeat {
+        from: member().to_string(),
+        boot: 7,
+        number: 41,
+        leads: true,
+        lost: false,
+    });
+    check_message(&standby(heartbeat), HEARTBEAT);
+    let hints = StandbyMessage::Hints(Hints {
+        from: member().to_string(),
+        number: 41,
+        estimates: Estimates {
+            boots: vec![("g8".into(), 52.5)],
+            bursts: vec![("g8".into(), true, 2.0)],
+        },
+        images: vec![ImageHint {
+            name: "img-07".into(),
+            gb: 6.5,
+        }],
+        machines: vec![MachineHint {
+            id: machine().to_string(),
+            images: vec![0],
+        }],
+    });
+    check_message(&standby(hints), HINTS);
 }
 
 const LEADER: &str =
     "a4666d656d6265726d74726573746c6568616e642d3064626f6f7407666e756d626572182964686f6c640c";
 const NUMBER: &str = "a16768696768657374182a";
+const FENCED_LEADER: &str = "a5666d656d6265726d74726573746c6568616e642d3064626f6f7407666e756d626572182964686f6c640c6966656e6365645f6d73190bb8";
+const FENCED_NUMBER: &str = "a26768696768657374182a6566656e6365a2666e756d6265721829626d73190bb8";
+const HEARTBEAT: &str = "0000001305000d74726573746c6568616e642d3007290100";
+const HINTS: &str = "0000004505010d74726573746c6568616e642d3029010267380000000000404a40010267380100000000000000400106696d672d30370000000000001a400108692d3030303233310100";
 const BLOCK: &str = "a566686f6c6465726d74726573746c6568616e642d3064626f6f7407666e756d6265721829686d616368696e657381856267386161f568692d303030323331606a616c6c6f77616e636573a166766973696f6e82f94800f93c00";
 const PLAN: &str = "a6666e756d62657218296677616e7465648183626738f40365686972657381a5646e616d6566722d34312d3165636c617373626738647a6f6e6561616473706f74f465636f756e7403667368617265738182000166636c6f73656481836267386162f56772657475726e738168692d303030323331";
 const JOB: &str = "b465636c61737365747261696e647465616d66766973696f6e64666f726d6542617463686472616e6b66557267656e7465636f756e7410646e656564a36463707573f948006467707573f93c00636d656df9540065696d61676566696d672d303768696d6167655f6762fb4018cccccccccccd65747970657381626738647a6f6e65f6686f6e655f7a6f6e65f56773636174746572f46473706f74f56a657374696d6174655f73f95b806c636865636b706f696e745f73f94f8066736176655f73f944006a646561646c696e655f73f96308656368756e6b184465626c6f636b006977697468647261776ef4";
