Tasks of a job that a sheltering controller doesn't know yet are kept

A controller that answers in the holder's place took a job that its follow, which pauses, hadn't brought yet for one that is over.

--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -270,10 +270,12 @@
         let known = rec.map(|b| b.number).filter(|n| n.0 >= report.number);
         let own = Some(Number(report.number)).filter(|n| blind && n.0 > 0);
         let number = known.or(own)?;
-        // Without sight, a job that isn't known here may be newer than what is.
+        // A job that isn't known here may be newer than what is: only one whose end is known is
+        // over. Tasks that the holder had started just before it ended were halted here, since the
+        // follow hadn't brought their jobs yet, and started again by its successor.
         let over = |task: &TaskId| match self.cache.jobs.get(&task.job) {
             Some(job) => job.withdrawn.is_some(),
-            None => !blind,
+            None => self.cache.ending(&task.job).is_some(),
         };
         let halts = report.tasks.iter().filter_map(|t| {
             let task = TaskId::parse(&t.task)?;
