Read through: one way to read an attempt's number, a first report seen where it is taken in

The judge of orders shifted attempts by a constant of its own; Attempt::number serves it and the takeover run. Starts again were counted beside their list. Whether a report is a machine's first here cost a look-up of its own for each report, and is known where the report is taken in.

--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -590,7 +590,7 @@
         let orders = &watch.orders;
         let wrong = orders.broken.iter().chain(&orders.duties.broken);
         broken.extend(wrong.take(BROKEN_MAX).cloned());
-        info!("{} tasks were started again", orders.repeated);
+        info!("{} tasks were started again", orders.repeats.len());
         for repeat in orders.repeats.iter().take(BROKEN_MAX) {
             info!("started again: {repeat}");
         }
--- a/scale/src/takeovers.rs
+++ b/scale/src/takeovers.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use salttrestle::core::records::{BlockRec, LeaderRec, RunRec};
 use salttrestle::ids::{Attempt, JobId, TaskId};
-use salttrestle_standins::orders::{Orders, number_of};
+use salttrestle_standins::orders::Orders;
 use serde::{Deserialize, Serialize};
 
 /// How leaders end, and how often.
@@ -135,7 +135,7 @@
         urgent: bool,
     ) {
         self.orders.started(now, machine, newest, task, attempt);
-        let number = number_of(attempt);
+        let number = attempt.number().0;
         self.note(now, number, |row| &mut row.started_ms);
         if urgent {
             self.note(now, number, |row| &mut row.urgent_ms);
--- a/src/core/workers/reports.rs
+++ b/src/core/workers/reports.rs
@@ -39,7 +39,6 @@
         let number = h.number;
         let proof = report.number == number.0;
         let via = self.relays.carrier(req);
-        let first = h.machines.get(id).is_some_and(|m| m.heard.is_none());
         let taken = h.machines.edit(id, |m| {
             m.via = via;
             m.take_report(now, &report, proof)
@@ -52,7 +51,7 @@
             // may still wait, but nothing in it is news.
             return self.answer(req, Reply::ok(200, commands_body(number, &[])));
         }
-        if first {
+        if taken.first {
             h.take_hinted_images(id, self.standby.hints(), &self.catalog);
         }
         if taken.born {
@@ -247,6 +246,8 @@
 struct Taken {
     /// It is newer than any before it.
     fresh: bool,
+    /// It is the first that this holder has of the machine.
+    first: bool,
     /// It is the machine's first.
     born: bool,
     /// The older report that waited for its answer.
@@ -262,11 +263,13 @@
             self.answered = now;
             return Taken {
                 fresh,
+                first: false,
                 born,
                 held: None,
             };
         }
         (self.session, self.seq, self.seen) = (report.session, report.seq, now);
+        let first = self.heard.is_none();
         self.heard.get_or_insert(now);
         self.shown |= proof;
         if born {
@@ -283,7 +286,12 @@
         if held.is_some() {
             self.answered = now;
         }
-        Taken { fresh, born, held }
+        Taken {
+            fresh,
+            first,
+            born,
+            held,
+        }
     }
 }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -110,6 +110,11 @@
     pub fn new(number: Number, count: u64) -> Self {
         Self((number.0 << Self::COUNT_BITS) | (count & ((1 << Self::COUNT_BITS) - 1)))
     }
+
+    /// The number under which it was placed.
+    pub fn number(self) -> Number {
+        Number(self.0 >> Self::COUNT_BITS)
+    }
 }
 
 /// A request that waits for its answer.
--- a/standins/src/orders.rs
+++ b/standins/src/orders.rs
@@ -7,14 +7,6 @@
 use salttrestle::ids::{Attempt, JobId, MachineId, TaskId};
 use std::collections::{HashMap, HashSet};
 
-/// Bits of an attempt that count the placements under one number.
-const COUNT_BITS: u32 = 28;
-
-/// The number under which an attempt was placed.
-pub fn number_of(attempt: Attempt) -> u64 {
-    attempt.0 >> COUNT_BITS
-}
-
 /// Judges orders. Times are in milliseconds.
 #[derive(Debug, Default)]
 pub struct Orders {
@@ -26,9 +18,7 @@
     committed: HashMap<(TaskId, Attempt), MachineId>,
     /// The latest attempt of each task that reached a worker.
     latest: HashMap<TaskId, Attempt>,
-    /// Starts of tasks that had been started before.
-    pub repeated: u64,
-    /// When, of what, and the attempts.
+    /// Starts of tasks that had been started before: when, of what, and the attempts.
     pub repeats: Vec<String>,
     /// What was broken.
     pub broken: Vec<String>,
@@ -55,7 +45,7 @@
 
     /// A start has reached a worker that knows this number as the newest.
     pub fn started(&mut self, now: u64, machine: &str, newest: u64, task: &TaskId, it: Attempt) {
-        let number = number_of(it);
+        let number = it.number().0;
         if !self.held.contains(&number) {
             self.fault(now, format!("start: {task} under {number}, never held"));
         }
@@ -73,7 +63,6 @@
                 self.fault(now, format!("start: {task} falls to an earlier attempt"));
             }
             Some(before) => {
-                self.repeated += 1;
                 let at_s = now as f64 / 1e3;
                 self.repeats.push(format!(
                     "{at_s:.3} {task} on {machine}: {:#x}, before {:#x}",
--- a/standins/tests/orders.rs
+++ b/standins/tests/orders.rs
@@ -36,7 +36,7 @@
     orders.started(10, MACHINE, 4, &task(), attempt(4, 1));
     orders.started(20, MACHINE, 6, &task(), attempt(6, 1));
     assert_eq!(orders.broken, Vec::<String>::new());
-    assert_eq!(orders.repeated, 1);
+    assert_eq!(orders.repeats.len(), 1);
     for (number, member) in [(3, "n0"), (5, "n1"), (7, "n0")] {
         orders.duties.leader_is(Some((number, member)));
         orders.duties.cloud_changed(number, member);
