Review: case 2, a swarm of tiny tasks has sound machines deleted one by one

Cause: nothing bounds the number of tasks on a machine. Past about 1,300 tasks a worker's report exceeds the 64 KiB of a request's body, every controller answers it with 413, and the machine is deleted as silent, with all that is on it. Its tasks go to the next machine.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod pipeline;
 mod record;
 mod state;
+mod swarm;
 mod worker;
 mod world;
 
@@ -28,6 +29,7 @@
     // A panic means that the case can't run. The controllers are ended on the way.
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "pipeline" => pipeline::run(record.clone(), folder, trouble),
+        "swarm" => swarm::run(record.clone(), folder, trouble),
         _ => 2,
     });
     let result = result.unwrap_or(2);
