Review: case 3, a leader cut from the workers deletes machines with over 200 tasks

Cause: forwarding.rs never forwards a report with more than 200 tasks, and redirects its worker to the owner as long as the owner counts as reachable by workers. The owner counts reports that peers forwarded to it as if workers had reached it.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cbor;
 mod cloud;
+mod cut;
 mod http;
 mod pipeline;
 mod record;
@@ -28,6 +29,7 @@
     let folder = Path::new(folder);
     // A panic means that the case can't run. The controllers are ended on the way.
     let result = std::panic::catch_unwind(|| match case.as_str() {
+        "cut" => cut::run(record.clone(), folder, trouble),
         "pipeline" => pipeline::run(record.clone(), folder, trouble),
         "swarm" => swarm::run(record.clone(), folder, trouble),
         _ => 2,
