--- a/review/standins/src/cut.rs
+++ b/review/standins/src/cut.rs
@@ -3,11 +3,10 @@
 
 use crate::record::Record;
 use crate::worker::JobSpec;
-use crate::world::{job_body, small_deployment, JobBody, World};
+use crate::world::{job_body, small_deployment, JobBody, World, SERVICE};
 use std::path::Path;
 use std::time::Duration;
 
-const SERVICE: &str = "wk-000001";
 const ARRAY: &str = "wk-000002";
 /// How long the controller is cut off from the workers, in seconds.
 const CUT_S: f64 = 30.0;
@@ -26,34 +25,9 @@
     setup.builds[0].ready_s = 60.0;
     let world = World::start(setup, record.clone(), folder);
     world.wait_until_up(20.0);
-    let started = |id: &str| {
-        let counts = world.site.counts.lock().unwrap();
-        counts.started.get(id).copied().unwrap_or(0)
-    };
-    let service = JobSpec {
-        cores: 11.0,
-        accelerators: 2.0,
-        mem_gb: 35.0,
-        verses: 1,
-        image: "dockside".into(),
-        size_gb: 2.0,
-        run_s: None,
-        vary: 0.0,
-    };
-    let job = JobBody {
-        id: SERVICE,
-        class: "dockside-linguist",
-        team: "booking-desk",
-        form: "service",
-        rank: "critical",
-        reckon_s: 0.0,
-    };
-    if world.submit(SERVICE, job_body(&job, &service), service.clone()) != 201 {
+    if !world.start_service(1) {
         return 2;
     }
-    while started(SERVICE) == 0 && record.elapsed_s() < 40.0 {
-        pause(0.1);
-    }
     // Tasks of a quarter of a CPU, as many as the machine of the replica takes beside it.
     let array = JobSpec {
         cores: 0.25,
@@ -63,7 +37,6 @@
         image: "pebbles".into(),
         size_gb: 0.5,
         run_s: Some(300.0),
-        vary: 0.0,
     };
     let job = JobBody {
         id: ARRAY,
@@ -71,7 +44,6 @@
         team: "steelpan-lab",
         form: "batch",
         rank: "idle",
-        reckon_s: 300.0,
     };
     if world.submit(ARRAY, job_body(&job, &array), array.clone()) != 201 {
         return 2;
@@ -100,7 +72,7 @@
         return 2;
     };
     record.line(&format!("leader={}", world.nodes[leader].name));
-    let lost_before = lost(&world, SERVICE);
+    let lost_before = world.lost(SERVICE);
     if trouble {
         world.site.cut_from_workers.lock().unwrap()[leader] = true;
         record.line(&format!(
@@ -117,19 +89,12 @@
         world.leader_index(),
         world.cloud.tasks()
     ));
-    let lost_now = lost(&world, SERVICE) - lost_before;
+    let lost_now = world.lost(SERVICE) - lost_before;
     let counts = world.site.counts.lock().unwrap().clone();
     record.line(&format!("{counts:?}"));
     record.line(&format!(
         "replica lost={lost_now} array tasks lost={}",
-        lost(&world, ARRAY)
+        world.lost(ARRAY)
     ));
     i32::from(lost_now > 0 || !counts.ran_twice.is_empty())
 }
-
-/// Running tasks of a job that went with their machine or with its worker's lease.
-fn lost(world: &World, id: &str) -> u64 {
-    let counts = world.site.counts.lock().unwrap();
-    counts.killed_by_lease.get(id).copied().unwrap_or(0)
-        + counts.killed_by_deletion.get(id).copied().unwrap_or(0)
-}
--- a/review/standins/src/pipeline.rs
+++ b/review/standins/src/pipeline.rs
@@ -4,12 +4,11 @@
 use crate::cbor::V;
 use crate::record::Record;
 use crate::worker::JobSpec;
-use crate::world::{job_body, small_deployment, JobBody, World};
+use crate::world::{job_body, small_deployment, JobBody, World, SERVICE};
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-const SERVICE: &str = "wk-000001";
 /// Submissions that are under way at the same time.
 const PARALLEL: usize = 24;
 
@@ -30,7 +29,6 @@
         image: "blend".into(),
         size_gb: 1.0,
         run_s: Some(200.0),
-        vary: 0.0,
     };
     let job = JobBody {
         id,
@@ -38,7 +36,6 @@
         team: "booking-desk",
         form: "batch",
         rank,
-        reckon_s: 200.0,
     };
     let mut body = job_body(&job, &spec);
     if let V::M(fields) = &mut body {
@@ -83,34 +80,9 @@
     setup.builds[0].capacity = 2;
     let world = World::start(setup, record.clone(), folder);
     world.wait_until_up(20.0);
-    let started = |id: &str| {
-        let counts = world.site.counts.lock().unwrap();
-        counts.started.get(id).copied().unwrap_or(0)
-    };
-    let service = JobSpec {
-        cores: 11.0,
-        accelerators: 2.0,
-        mem_gb: 35.0,
-        verses: 4,
-        image: "dockside".into(),
-        size_gb: 2.0,
-        run_s: None,
-        vary: 0.0,
-    };
-    let job = JobBody {
-        id: SERVICE,
-        class: "dockside-linguist",
-        team: "booking-desk",
-        form: "service",
-        rank: "critical",
-        reckon_s: 0.0,
-    };
-    if world.submit(SERVICE, job_body(&job, &service), service.clone()) != 201 {
+    if !world.start_service(4) {
         return 2;
     }
-    while started(SERVICE) < 4 && record.elapsed_s() < 40.0 {
-        pause(0.1);
-    }
     if !submit_stage(&world, 1, jobs, &|_| Vec::new()) {
         return 2;
     }
@@ -126,8 +98,7 @@
     }
     record.line("second stage accepted");
     pause(2.0);
-    let before = world.site.counts.lock().unwrap().clone();
-    record.line(&format!("{before:?}"));
+    let before = world.lost(SERVICE);
     // The last job of the pipeline has the priority that its users care about.
     let last = stage_id(3, 0);
     let from = record.elapsed_s();
@@ -149,16 +120,12 @@
     longest_s = f64::max(longest_s, record.elapsed_s() - answered_at);
     let after = world.site.counts.lock().unwrap().clone();
     record.line(&format!("{after:?}"));
-    let lost = |counts: &crate::worker::Counts| {
-        counts.killed_by_lease.get(SERVICE).copied().unwrap_or(0)
-            + counts.killed_by_deletion.get(SERVICE).copied().unwrap_or(0)
-    };
     record.line(&format!(
         "no controller answered for s={longest_s:.1} leases_ended={} replicas lost before={} after={}",
         after.leases_ended,
-        lost(&before),
-        lost(&after)
+        before,
+        world.lost(SERVICE)
     ));
     // Nothing was cut, stopped or killed: no replica may be lost.
-    i32::from(lost(&after) > 0)
+    i32::from(world.lost(SERVICE) > 0)
 }
--- a/review/standins/src/swarm.rs
+++ b/review/standins/src/swarm.rs
@@ -3,49 +3,19 @@
 
 use crate::record::Record;
 use crate::worker::JobSpec;
-use crate::world::{job_body, small_deployment, JobBody, World};
+use crate::world::{job_body, small_deployment, JobBody, World, SERVICE};
 use std::path::Path;
 use std::time::Duration;
 
-const SERVICE: &str = "wk-000001";
 const ARRAY: &str = "wk-000002";
 
 pub fn run(record: Record, folder: &Path, trouble: bool) -> i32 {
     let world = World::start(small_deployment(), record.clone(), folder);
     world.wait_until_up(20.0);
 
-    let service = JobSpec {
-        cores: 11.0,
-        accelerators: 2.0,
-        mem_gb: 35.0,
-        verses: 1,
-        image: "dockside".into(),
-        size_gb: 2.0,
-        run_s: None,
-        vary: 0.0,
-    };
-    let job = JobBody {
-        id: SERVICE,
-        class: "dockside-linguist",
-        team: "booking-desk",
-        form: "service",
-        rank: "critical",
-        reckon_s: 0.0,
-    };
-    if world.submit(SERVICE, job_body(&job, &service), service.clone()) != 201 {
-        return 2;
-    }
-    let started = |id: &str| {
-        let counts = world.site.counts.lock().unwrap();
-        counts.started.get(id).copied().unwrap_or(0)
-    };
-    while started(SERVICE) == 0 && record.elapsed_s() < 40.0 {
-        std::thread::sleep(Duration::from_millis(100));
-    }
-    if started(SERVICE) == 0 {
+    if !world.start_service(1) {
         return 2;
     }
-    record.line("the service's replica runs");
 
     // Without the disruption the guest's array has as many tasks as fit into a report.
     let array = JobSpec {
@@ -56,7 +26,6 @@
         image: "pebbles".into(),
         size_gb: 0.5,
         run_s: Some(20.0),
-        vary: 0.0,
     };
     let job = JobBody {
         id: ARRAY,
@@ -64,7 +33,6 @@
         team: "steelpan-lab",
         form: "batch",
         rank: "idle",
-        reckon_s: 20.0,
     };
     if world.submit(ARRAY, job_body(&job, &array), array.clone()) != 201 {
         return 2;
@@ -78,21 +46,22 @@
         done = status == 200 && stance.as_deref() == Some("done");
         if record.elapsed_s() >= next_line || done {
             next_line = record.elapsed_s() + 5.0;
-            record.line(&format!("polled job={ARRAY} status={status} body={body:?}"));
+            let counts = world.site.counts.lock().unwrap().clone();
+            record.line(&format!(
+                "polled job={ARRAY} status={status} body={body:?} task_starts={:?} machines={}",
+                counts.started,
+                world.cloud.machines()
+            ));
         }
     }
     let counts = world.site.counts.lock().unwrap().clone();
     record.line(&format!("machines={}", world.cloud.machines()));
     record.line(&format!("{counts:#?}"));
-    let lost = |id: &str| {
-        counts.killed_by_lease.get(id).copied().unwrap_or(0)
-            + counts.killed_by_deletion.get(id).copied().unwrap_or(0)
-    };
     let completed = counts.completed.get(ARRAY).copied().unwrap_or(0);
     record.line(&format!(
         "array done={done} completed={completed} running_tasks_lost={} service_replica_lost={}",
-        lost(ARRAY),
-        lost(SERVICE)
+        world.lost(ARRAY),
+        world.lost(SERVICE)
     ));
     if !counts.ran_twice.is_empty() {
         return 1;
@@ -100,7 +69,7 @@
     // No process, machine or link was troubled. The array's tasks take 20 s and all fit on the
     // machines. Accepted work is lost if none of them has completed, though each was lost once on
     // average, or if the replica of the other team's service was lost again and again.
-    let is_array_lost = completed == 0 && lost(ARRAY) >= array.verses;
-    let is_service_lost = lost(SERVICE) >= 2;
+    let is_array_lost = completed == 0 && world.lost(ARRAY) >= array.verses;
+    let is_service_lost = world.lost(SERVICE) >= 2;
     i32::from(is_array_lost || is_service_lost)
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -37,8 +37,6 @@
     pub size_gb: f64,
     /// Run time of a task in seconds; `None` for a service.
     pub run_s: Option<f64>,
-    /// Share by which run times differ from `run_s`, up or down.
-    pub vary: f64,
 }
 
 #[derive(Default, Clone, Debug)]
@@ -227,8 +225,7 @@
                 }
                 Stance::Running(since) => {
                     let ran = now.duration_since(since).as_secs_f64();
-                    let share = 1.0 + spec.vary * spread(verse);
-                    if spec.run_s.is_some_and(|run_s| ran >= run_s * share) {
+                    if spec.run_s.is_some_and(|run_s| ran >= run_s) {
                         self.finish(verse, task);
                         changed = true;
                     }
@@ -500,11 +497,3 @@
         Stance::Fetching(Instant::now() + Duration::from_secs_f64(fetch_s))
     }
 }
-
-/// A number from -1 to 1 that is the same for a task each time.
-fn spread(verse: &str) -> f64 {
-    let hash = verse.bytes().fold(0xcbf29ce484222325u64, |hash, byte| {
-        (hash ^ byte as u64).wrapping_mul(0x100000001b3)
-    });
-    (hash >> 40) as f64 / (1u64 << 23) as f64 - 1.0
-}
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -66,6 +66,9 @@
     }
 }
 
+/// The service of another team whose replicas the cases watch.
+pub const SERVICE: &str = "wk-000001";
+
 pub struct World {
     pub record: Record,
     pub state: Arc<State>,
@@ -263,6 +266,51 @@
         status
     }
 
+    /// Submits [`SERVICE`], a critical service of the operators' sizes, and waits until its replicas
+    /// run. Returns whether they do.
+    pub fn start_service(&self, replicas: u64) -> bool {
+        let spec = JobSpec {
+            cores: 11.0,
+            accelerators: 2.0,
+            mem_gb: 35.0,
+            verses: replicas,
+            image: "dockside".into(),
+            size_gb: 2.0,
+            run_s: None,
+        };
+        let job = JobBody {
+            id: SERVICE,
+            class: "dockside-linguist",
+            team: "booking-desk",
+            form: "service",
+            rank: "critical",
+        };
+        if self.submit(SERVICE, job_body(&job, &spec), spec) != 201 {
+            return false;
+        }
+        while self.started(SERVICE) < replicas {
+            if self.record.elapsed_s() > 40.0 {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        self.record.line("the replicas of the service run");
+        true
+    }
+
+    /// How many tasks of a job have begun to run, each attempt counted.
+    pub fn started(&self, job: &str) -> u64 {
+        let counts = self.site.counts.lock().unwrap();
+        counts.started.get(job).copied().unwrap_or(0)
+    }
+
+    /// Running tasks of a job that went with their machine or with its worker's lease.
+    pub fn lost(&self, job: &str) -> u64 {
+        let counts = self.site.counts.lock().unwrap();
+        counts.killed_by_lease.get(job).copied().unwrap_or(0)
+            + counts.killed_by_deletion.get(job).copied().unwrap_or(0)
+    }
+
     /// Asks for a job's state. Status 0: no answer within 2 s.
     pub fn poll(&self, id: &str, node: usize) -> (u16, Option<V>) {
         let mut client = Client::new(self.nodes[node].listen);
@@ -301,7 +349,6 @@
     pub team: &'a str,
     pub form: &'a str,
     pub rank: &'a str,
-    pub reckon_s: f64,
 }
 
 /// The body of a submission, of the amounts in `spec`.
@@ -311,7 +358,7 @@
         "rank" => job.rank, "verses" => spec.verses, "cores" => spec.cores,
         "accelerators" => spec.accelerators, "memGb" => spec.mem_gb, "score" => spec.image.clone(),
         "sizeGb" => spec.size_gb, "builds" => V::Null, "quarter" => V::Null, "samePlace" => false,
-        "scatter" => false, "borrowed" => false, "reckonS" => job.reckon_s, "bookmarkS" => 0.0,
+        "scatter" => false, "borrowed" => false, "reckonS" => spec.run_s.unwrap_or(0.0), "bookmarkS" => 0.0,
         "stashS" => 0.0, "curtainS" => V::Null
     }
 }
