--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -15,7 +15,7 @@
 fi
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-REVIEW_ROOT=$root timeout -k 2 117 "$program" "$1" "$folder/record.txt" "$scratch"
+REVIEW_ROOT=$root timeout -s KILL 117 "$program" "$1" "$folder/record.txt" "$scratch"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
