--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod rig;
 mod scene;
+mod slow_state;
 mod state;
 mod vast_array;
 mod worker;
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let result = match case.as_str() {
+        "slow-state" => slow_state::run(&root, &record, trouble),
         "vast-array" => vast_array::run(&root, &record, trouble),
         _ => Err("unknown case".into()),
     };
