--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod cbor;
 mod cloud;
 mod http;
+mod quiet;
 mod rig;
 mod scene;
 mod slow_state;
@@ -24,6 +25,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let result = match case.as_str() {
+        "quiet" => quiet::run(&root, &record, trouble),
         "slow-state" => slow_state::run(&root, &record, trouble),
         "vast-array" => vast_array::run(&root, &record, trouble),
         _ => Err("unknown case".into()),
