--- a/review/standins-2/scene.rs
+++ b/review/standins-2/scene.rs
@@ -267,6 +267,11 @@
             shared.largest_report_json.load(Ordering::Relaxed),
             shared.largest_response_json.load(Ordering::Relaxed)
         ));
+        let (unfinished, exited) = *shared.in_largest.lock().unwrap();
+        self.log.line(format!(
+            "in the largest report: {unfinished} unfinished and {exited} exited tasks; most unfinished tasks in any report: {}",
+            shared.most_unfinished.load(Ordering::Relaxed)
+        ));
         self.log.line(format!(
             "sessions that ended with their lease: {}, tasks killed by that: {}",
             shared.lease_ends.load(Ordering::Relaxed),
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -55,6 +55,9 @@
     pub largest_report: AtomicU64,
     pub largest_report_json: AtomicU64,
     pub largest_response_json: AtomicU64,
+    /// Unfinished and exited tasks in the largest report, and most unfinished ones in any report.
+    pub in_largest: Mutex<(usize, usize)>,
+    pub most_unfinished: AtomicU64,
     /// Answers to reports by status; 0 stands for none.
     pub answers: Mutex<BTreeMap<u16, u64>>,
     /// A task ran on two machines at once.
@@ -424,6 +427,13 @@
             ("verses", V::A(tasks.collect())),
         ]);
         let body = encode(&report);
+        let unfinished = self.alive().len();
+        self.shared
+            .most_unfinished
+            .fetch_max(unfinished as u64, Ordering::Relaxed);
+        if body.len() as u64 > self.shared.largest_report.load(Ordering::Relaxed) {
+            *self.shared.in_largest.lock().unwrap() = (unfinished, self.tasks.len() - unfinished);
+        }
         self.shared
             .largest_report
             .fetch_max(body.len() as u64, Ordering::Relaxed);
