--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -147,10 +147,9 @@
     }
     pub fn signal(&self, index: usize, name: &str) {
         if let Some(pid) = self.pid(index) {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(pid.to_string())
-                .status();
+            // The shell's own `kill`: not every machine has a program of that name.
+            let command = format!("kill -{name} {pid}");
+            let _ = Command::new("sh").arg("-c").arg(command).status();
         }
     }
     /// Whether a controller's process has ended although it wasn't killed.
