Log what becomes of status queries, and how long reads of the store take

Callers got 503 for live jobs while the store was slow, and no log line could tell whether reads failed, the watch didn't catch up with them, or the statuses were too old to be sent. The load line now counts the three, and has the longest time of a read until its response and until the watch had caught up.

--- a/src/controller/api/mod.rs
+++ b/src/controller/api/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::controller::Controller;
 use crate::controller::context::Context;
-use crate::controller::events::{Reply, Request};
+use crate::controller::events::{Reply, Request, StatusQueryCounts};
 use crate::controller::store::RevisionDemand;
 use crate::controller::store::records::{Ending, JobRecord};
 use crate::ids::{CallId, JobId, RequestId, Time};
@@ -91,6 +91,7 @@
     /// submission that needs a read.
     urgent_preceding_call: Option<CallId>,
     delayed_endings: VecDeque<DelayedEnding>,
+    pub(crate) status_query_counts: StatusQueryCounts,
 }
 
 /// Timeout of a query, in seconds. Users wait 2 s for the answer.
@@ -127,6 +128,9 @@
     /// queries that wait for the end of their job, except to polls.
     fn remove_timed_out(&mut self, now: Time, cancellation_timeout_s: f64) -> Vec<RequestId> {
         let mut timed_out = Vec::new();
+        let is_unanswered = |query: &&StatusQuery| now.since(query.received_at) >= QUERY_TIMEOUT_S;
+        let unanswered = self.status_queries.iter().filter(is_unanswered).count();
+        self.status_query_counts.timed_out += unanswered as u64;
         for (queue, timeout_s) in [
             (&mut self.status_queries, QUERY_TIMEOUT_S),
             (&mut self.awaiting_end_read, QUERY_TIMEOUT_S),
--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -117,6 +117,7 @@
         }
         if !self.mirror_is_current() {
             // The read took so long that another controller may have sent a newer status since.
+            self.api.status_query_counts.too_old += 1;
             return self.repeat_status_query(query);
         }
         let Some(job) = self.store.mirror.jobs.get(&query.id) else {
@@ -145,6 +146,7 @@
         } else {
             JobStatus::Queued
         };
+        self.api.status_query_counts.answered += 1;
         let body = job_status_body(&query.id, status, done, running);
         self.answer(query.request_id, Reply::ok(200, body));
     }
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -1,6 +1,7 @@
 //! The inputs and outputs of the controller's state machine.
 
 use crate::controller::store::records::JobRecord;
+use crate::controller::store::staleness::ReadTimes;
 use crate::ids::{CallId, ControllerId, JobId, RequestId};
 use crate::peer::Message;
 use crate::wire::{
@@ -133,6 +134,21 @@
     pub machines_scanned: u64,
     /// Total tasks placed.
     pub placed: u64,
+    /// Status queries of live jobs.
+    pub status_queries: StatusQueryCounts,
+    /// How long reads of the store recently took.
+    pub read_times: ReadTimes,
+}
+
+/// Counts of status queries of live jobs since the start, by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatusQueryCounts {
+    /// Answered with a status.
+    pub answered: u64,
+    /// Reads that took so long that the status was too old to be sent.
+    pub too_old: u64,
+    /// Refused since no recent enough status came in time.
+    pub timed_out: u64,
 }
 
 /// Jobs and tasks that are waiting in the shards that this controller owns.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -139,6 +139,8 @@
             queued: self.context.api.backlog() + queued_writes.sum::<usize>(),
             machines_scanned: self.context.machines_scanned,
             placed: self.context.tasks_placed,
+            status_queries: self.context.api.status_query_counts,
+            read_times: self.context.store.read_times(self.context.now),
         }
     }
 
--- a/src/controller/store/mod.rs
+++ b/src/controller/store/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod chunks;
 pub(crate) mod mirror;
+mod recent_maximum;
 pub mod records;
 pub(crate) mod staleness;
 mod watch;
--- a/src/controller/store_requests.rs
+++ b/src/controller/store_requests.rs
@@ -79,7 +79,8 @@
                 sent_at,
             } => self.on_response_for(purpose, response, sent_at),
         }
-        self.context.store.advance_linearization();
+        let now = self.context.now;
+        self.context.store.advance_linearization(now);
         self.context.answer_status_queries();
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -228,11 +228,12 @@
             return None;
         }
         let line = format!(
-            "load: {}; {}; {}; {} writes queued at most; {} machines looked at for {} tasks placed; \
+            "load: {}; {}; {}; {}; {} writes queued at most; {} machines looked at for {} tasks placed; \
              {sockets} of {sockets_max} sockets; {} to siblings, {} to other cells",
             self.utilization.take_log_text(),
             self.durations_text(elapsed_s),
             self.limits_text(load, elapsed_s),
+            self.status_queries_text(load),
             self.queued_writes_max,
             load.machines_scanned - self.load_at_last_line.machines_scanned,
             load.placed - self.load_at_last_line.placed,
@@ -275,6 +276,20 @@
         )
     }
 
+    /// Formats what became of status queries, and how long the reads for them took.
+    fn status_queries_text(&self, load: &Load) -> String {
+        let (counts, before) = (load.status_queries, self.load_at_last_line.status_queries);
+        format!(
+            "{} statuses answered, {} too old, {} timed out; reads answered in {:.0} ms, caught up \
+             with in {:.0} ms at most",
+            counts.answered - before.answered,
+            counts.too_old - before.too_old,
+            counts.timed_out - before.timed_out,
+            load.read_times.response_s * 1000.0,
+            load.read_times.caught_up_s * 1000.0,
+        )
+    }
+
     fn begin_interval(&mut self, now: Time, load: &Load) {
         self.steps_us.reset();
         self.commits_us.reset();
