Don't close a watch before a slow store can respond to it

While each response took 1.9 s and jobs came and ended, controllers closed 161 watches in 160 s as stuck, though the store responded to all of them: what a read shows may come only with the next watch, two responses after the change, and a watch was given 1.5 s from when the read was answered. Statuses, starts and ends came as late as the luck of the next watch had it. The same cause as with status queries: a fixed time for what takes as long as the store takes.

A watch now counts as stuck after 1.5 s or twice the time that the read itself took, whichever is longer. Reads of a fast store take milliseconds, so nothing changes there. Scenario slow_store_watch_keeps_up failed before (161 closed watches, 0 allowed) and passes.

--- a/src/controller/store/staleness.rs
+++ b/src/controller/store/staleness.rs
@@ -7,7 +7,7 @@
 use crate::controller::outbox::Outbox;
 use crate::controller::rate_limits::token_bucket::Priority;
 use crate::controller::store::read_times::{ReadTimer, ReadTimes};
-use crate::controller::store::{Purpose, RETRY_S, StoreClient};
+use crate::controller::store::{Purpose, RETRY_S, STORE_TIMEOUT_S, StoreClient};
 use crate::ids::{CallId, Time};
 use crate::wire::StoreRequest;
 use std::collections::VecDeque;
@@ -24,6 +24,10 @@
 /// Longest interval between two reads of the current revision, in seconds.
 const REVISION_READ_INTERVAL_S: f64 = 1.0;
 
+/// A watch counts as stuck if it hasn't delivered a revision that is known to exist for longer than
+/// this, in seconds, and for longer than two responses of the store take.
+const WATCH_STUCK_S: f64 = 1.5;
+
 /// A completed read or commit whose revision the mirror hasn't reached yet.
 #[derive(Debug)]
 struct RevisionRead {
@@ -91,11 +95,14 @@
         });
     }
 
-    /// Whether a read was answered more than `max_s` seconds ago whose revision the mirror hasn't
-    /// reached yet.
-    pub(super) fn has_waited_longer_than(&self, now: Time, max_s: f64) -> bool {
-        let oldest = self.reads.front();
-        oldest.is_some_and(|read| now.since(read.answered_at) > max_s)
+    /// Whether the open watch should have delivered a revision that is known to exist. A slow store
+    /// may first respond to the open watch, and deliver the revision with the next one.
+    pub(super) fn is_watch_stuck(&self, now: Time) -> bool {
+        self.reads.front().is_some_and(|oldest| {
+            let response_time_s = oldest.answered_at.since(oldest.sent_at);
+            let two_responses_s = 2.0 * response_time_s.min(STORE_TIMEOUT_S);
+            now.since(oldest.answered_at) > two_responses_s.max(WATCH_STUCK_S)
+        })
     }
 
     pub(super) fn clear_reads(&mut self) {
--- a/src/controller/store/watch.rs
+++ b/src/controller/store/watch.rs
@@ -9,9 +9,6 @@
 use crate::ids::{CallId, Time};
 use crate::wire::{Change, StoreRequest, StoreResponse};
 
-/// A watch counts as stuck if it hasn't delivered a revision that is known to exist for longer than
-/// this, in seconds.
-const WATCH_STUCK_S: f64 = 1.5;
 /// Upper bound on the share of a controller's requests that open watches, while the controller
 /// pauses between watches, since it neither leads nor schedules tasks.
 const WATCH_REQUEST_FRACTION: f64 = 0.4;
@@ -67,7 +64,7 @@
             // A network partition can leave the watch's connection open although it delivers
             // nothing. A revision that is known to exist but doesn't arrive shows this.
             WatchState::Watching { call }
-                if self.staleness.has_waited_longer_than(now, WATCH_STUCK_S) =>
+                if self.staleness.is_watch_stuck(now) =>
             {
                 self.pending.remove(&call);
                 outbox.push(Output::CancelCall(call));
--- a/tests/scenario_runs/expectations.rs
+++ b/tests/scenario_runs/expectations.rs
@@ -142,6 +142,7 @@
             "replaced-at-most" => world.store.command_checker.cloud_calls.replaced_records,
             "failures-at-most" => world.observed.task_failures,
             "sick-machines-at-most" => world.workers.values().filter(|w| w.is_faulty).count(),
+            "stuck-watches-at-most" => world.count_cancelled_watches(self.line),
             "unanswered-s-at-most" => world.unanswered_s(self.line),
             "rejected-at-most" => world.store.rejected_transactions,
             "limited-at-most" => world.store.rate_limited_transactions,
--- a/tests/sim/observed.rs
+++ b/tests/sim/observed.rs
@@ -46,6 +46,9 @@
     pub task_failures: usize,
     /// The times of task starts, in milliseconds.
     pub starts: Vec<u64>,
+    /// The times at which controllers closed watches that had delivered nothing for too long, in
+    /// milliseconds.
+    pub cancelled_watches: Vec<u64>,
     /// The times of takeovers, in milliseconds.
     pub takeovers: Vec<u64>,
     /// When each unanswered cancellation was sent, by request id.
@@ -204,6 +207,11 @@
         }
     }
 
+    /// The number of watches that controllers closed since they seemed stuck.
+    pub(crate) fn count_cancelled_watches(&self, arguments: &Arguments) -> usize {
+        Window::parse(arguments).count(self.observed.cancelled_watches.iter().copied())
+    }
+
     /// The number of task starts.
     pub(crate) fn count_starts(&self, arguments: &Arguments) -> usize {
         Window::parse(arguments).count(self.observed.starts.iter().copied())
--- a/tests/sim/outputs.rs
+++ b/tests/sim/outputs.rs
@@ -32,6 +32,7 @@
             // Simulated links have no connections to re-establish.
             Output::Reconnect(_) => {}
             Output::CancelCall(call) => {
+                self.observed.cancelled_watches.push(self.now);
                 self.store.watches.retain(|watch| {
                     watch.call != call || watch.process.controller != process.controller
                 });
