Count a controller as stale by what the watch delivered too, and don't wait for pending reads

Near the time limit of a request (1.9 s for each response) controllers counted as stale most of the time: reads followed one another, so that the latest one that the watch had caught up with was 2 to 4 s old, and only reads counted, though the response to a watch also holds everything that was committed before the watch was sent. Stale controllers refuse submissions and start nothing.

Staleness now counts from the sending of the latest read or watch that the mirror contains, and a read is sent every 0.5 s though earlier ones are pending.

--- a/src/controller/store/staleness.rs
+++ b/src/controller/store/staleness.rs
@@ -23,6 +23,9 @@
 const STATUS_QUERY_REQUEST_FRACTION: f64 = 0.35;
 /// Longest interval between two reads of the current revision, in seconds.
 const REVISION_READ_INTERVAL_S: f64 = 1.0;
+/// Shortest pause between two reads of the current revision while an earlier one is pending, in
+/// seconds.
+const CONCURRENT_READ_GAP_S: f64 = 0.5;
 
 /// A watch counts as stuck if it hasn't delivered a revision that is known to exist for longer than
 /// this, in seconds, and for longer than two responses of the store take.
@@ -57,8 +60,8 @@
     linearized_call: CallId,
     /// Time at which the latest read or watch was sent whose changes the mirror contains.
     changes_known_at: Time,
-    /// Whether a read of the current revision is pending.
-    is_reading: bool,
+    /// Number of pending reads of the current revision.
+    pending_reads: usize,
     /// Time at which the latest read of the current revision was sent. After a failed read, this is
     /// a time in the future, which delays the retry.
     last_read_at: Time,
@@ -75,7 +78,7 @@
             linearized_at: Time(0),
             linearized_call: CallId(0),
             changes_known_at: Time(0),
-            is_reading: false,
+            pending_reads: 0,
             last_read_at: Time(0),
             last_read_call: CallId(0),
             reads: VecDeque::new(),
@@ -114,7 +117,7 @@
     }
 
     pub(super) fn on_revision_read(&mut self, now: Time, succeeded: bool) {
-        self.is_reading = false;
+        self.pending_reads = self.pending_reads.saturating_sub(1);
         if !succeeded {
             self.last_read_at = now.after(RETRY_S);
         }
@@ -142,10 +145,12 @@
     /// Reads the current revision if a user request waits for it, or if the last read is
     /// [`REVISION_READ_INTERVAL_S`] old.
     pub(crate) fn read_revision(&mut self, now: Time, outbox: &mut Outbox, demand: RevisionDemand) {
-        if self.staleness.is_reading || !self.is_initial_list_done {
+        let since_last_read_s = now.since(self.staleness.last_read_at);
+        let waits_for_pending =
+            self.staleness.pending_reads > 0 && since_last_read_s < CONCURRENT_READ_GAP_S;
+        if waits_for_pending || !self.is_initial_list_done {
             return;
         }
-        let since_last_read_s = now.since(self.staleness.last_read_at);
         let last_call = self.staleness.last_read_call;
         let is_waiting = |after: Option<CallId>| after.is_some_and(|after| after >= last_call);
         let is_urgent = is_waiting(demand.urgent) && since_last_read_s >= REVISION_READ_GAP_S;
@@ -166,7 +171,7 @@
         };
         let request = StoreRequest::ReadRevision;
         if let Ok(call) = self.send_for(now, outbox, request, Purpose::ReadRevision, priority) {
-            self.staleness.is_reading = true;
+            self.staleness.pending_reads += 1;
             self.staleness.last_read_at = now;
             self.staleness.last_read_call = call;
         }
@@ -202,7 +207,7 @@
 
     /// Returns an upper bound on the age of the mirror, in seconds.
     pub(crate) fn staleness_s(&self, now: Time) -> f64 {
-        now.since(self.staleness.linearized_at)
+        now.since(self.staleness.changes_known_at)
     }
 
     /// Whether the mirror is incomplete or may be older than [`STALENESS_BOUND_S`].
--- a/src/controller/store/watch.rs
+++ b/src/controller/store/watch.rs
@@ -63,9 +63,7 @@
             }
             // A network partition can leave the watch's connection open although it delivers
             // nothing. A revision that is known to exist but doesn't arrive shows this.
-            WatchState::Watching { call }
-                if self.staleness.is_watch_stuck(now) =>
-            {
+            WatchState::Watching { call } if self.staleness.is_watch_stuck(now) => {
                 self.pending.remove(&call);
                 outbox.push(Output::CancelCall(call));
                 self.staleness.clear_reads();
