Read the end of a job for the next query when reads take too long for this one

A question that isn't answered now leaves a read of the job's end behind, one at a time for each job and of the lowest priority, so that the next question finds the end in memory. It also counts as a reason to announce a larger age of statuses, also where the controller has lost touch for the moment.

--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -28,6 +28,7 @@
             return self.answer_ending(request_id, &id, ending);
         }
         if self.is_out_of_touch() || self.api.status_queries.len() >= self.waiting_requests_max() {
+            self.prepare_for_repetition(&id);
             return self.answer(request_id, Reply::later(503, 1, STATUS_UNKNOWN));
         }
         let preceding_call = self.last_call();
@@ -166,13 +167,35 @@
         {
             return self.answer_live(&query);
         }
-        if is_live {
-            self.record_status_shortage();
-        }
+        self.prepare_for_repetition(&query.id);
         self.api.status_query_counts.timed_out += 1;
         self.answer(query.request_id, Reply::later(503, 2, STORE_SLOW));
     }
 
+    /// Prepares the answer to the next query about a job after one couldn't be answered.
+    fn prepare_for_repetition(&mut self, id: &JobId) {
+        self.record_status_shortage();
+        if self.store.is_initial_list_done() && !self.store.mirror.jobs.contains_key(id) {
+            self.read_end_for_later(id);
+        }
+    }
+
+    /// Reads the end of a job that isn't in memory. While reads take long, a query can't wait for
+    /// the read of the revision and for that of the end, but the next query finds the end in memory.
+    fn read_end_for_later(&mut self, id: &JobId) {
+        let is_same = |purpose: &RequestPurpose| matches!(purpose, RequestPurpose::LearnEnd(other) if other == id);
+        if self.store.is_pending(is_same) {
+            return;
+        }
+        let request = StoreRequest::Get(Key::End(id.clone()));
+        // Without a budget for the request, the next query that isn't answered tries again.
+        let _ = self.send_store_request(
+            request,
+            RequestPurpose::LearnEnd(id.clone()),
+            Priority::Last,
+        );
+    }
+
     /// Queues a query for another read.
     fn repeat_status_query(&mut self, query: StatusQuery) {
         let preceding_call = self.last_call();
--- a/src/controller/store_requests.rs
+++ b/src/controller/store_requests.rs
@@ -29,6 +29,8 @@
     Cancel(StatusQuery),
     /// Reads the end of a job whose status a user requested.
     ReadEnd(StatusQuery),
+    /// Reads the end of a job, for later queries of its status.
+    LearnEnd(JobId),
     /// Reads the end of a job that a submission names as a dependency.
     ReadSubmissionDependency(Box<DependentSubmission>, JobId),
     /// Reads the end of a job that a job in the mirror depends on.
@@ -110,6 +112,9 @@
             }
             RequestPurpose::Cancel(query) => context.on_cancelled(query, response),
             RequestPurpose::ReadEnd(query) => context.on_end_read(query, response),
+            RequestPurpose::LearnEnd(job) => {
+                context.learn_ending(&job, &response);
+            }
             RequestPurpose::ReadSubmissionDependency(submission, dependency) => {
                 context.on_submission_dependency_read(*submission, dependency, response);
             }
