Let a candidate's lease outlast an election at a slow store

While each response of the store took 1 s or more, no controller became leader after one had ended, handed over, or all had restarted, and no job started or ended for as long as that lasted: the lease of 3 s ended before its holder had learned from the watch that it had won, and so could renew it.

A candidate now asks for a lease that lasts for five reads if that is longer: the grant, the commit, two responses to watches and the renewal. What a leader rests on its lease doesn't change: it calls the cloud for 3 s from the sending of a renewal, which the store's lease outlasts, and its record says the same to its successors. With a fast store the lease lasts 3 s as before; after a spell of slowness a leader that ends is replaced at once by a majority as before, or else when its longer lease ends.

--- a/src/controller/leadership/election.rs
+++ b/src/controller/leadership/election.rs
@@ -14,6 +14,7 @@
 use crate::controller::context::{CLOCK_DRIFT_FRACTION, Context};
 use crate::controller::leadership::GiveUpReason;
 use crate::controller::rate_limits::token_bucket::Priority;
+use crate::controller::store::STORE_TIMEOUT_S;
 use crate::controller::store::records::{FencingTokenRecord, Key, LeaderRecord, Record};
 use crate::controller::store::staleness::STALENESS_BOUND_S;
 use crate::controller::store_requests::RequestPurpose;
@@ -29,6 +30,8 @@
     lease_id: u64,
     /// When the lease was requested.
     requested_at: Time,
+    /// Duration of the lease, in seconds.
+    duration_s: f64,
 }
 
 /// The state of this controller as a candidate and, once elected, as the holder of the leader's
@@ -46,6 +49,8 @@
     renewal_sent_at: Time,
     /// Whether a lease request or an election commit is pending at the store.
     request_pending: bool,
+    /// Duration of the lease that was requested last, in seconds.
+    requested_duration_s: f64,
     /// When the next renewal is due.
     renew_at: Time,
     /// Since when there has been no leader, or a leader that may be replaced.
@@ -81,6 +86,9 @@
 /// Maximum age of a lease that was requested in advance, as a fraction of its duration. An older
 /// one isn't used for a candidacy.
 const PREPARED_LEASE_AGE_MAX_FRACTION: f64 = 0.3;
+/// Number of responses of the store from the request of a lease to its first renewal: the grant, the
+/// election's commit, two responses to watches, and the renewal itself.
+const RESPONSES_BEFORE_RENEWAL: f64 = 5.0;
 /// Maximum number of candidate leases kept. Earlier ones are kept since an election commit without
 /// a response may turn out to have succeeded.
 const CANDIDATE_LEASES_MAX: usize = 8;
@@ -252,8 +260,10 @@
 
     /// The latest candidate lease, if it is recent enough for a candidacy.
     fn prepared_lease(&self) -> Option<CandidateLease> {
-        let age_max_s = self.settings.tuning.leader_lease_s * PREPARED_LEASE_AGE_MAX_FRACTION;
-        let is_recent = |lease: &CandidateLease| self.now.since(lease.requested_at) < age_max_s;
+        let is_recent = |lease: &CandidateLease| {
+            let age_max_s = lease.duration_s * PREPARED_LEASE_AGE_MAX_FRACTION;
+            self.now.since(lease.requested_at) < age_max_s
+        };
         self.election
             .candidate_leases
             .back()
@@ -261,14 +271,25 @@
             .filter(is_recent)
     }
 
+    /// The duration of a candidate's lease, in seconds. The lease must last until the elected leader
+    /// renews it, however slow the store is. The leader itself relies on a lease for no longer than
+    /// `leader_lease_s`, see [`Self::has_valid_lease`].
+    fn candidate_lease_s(&self) -> f64 {
+        let read_s = self.store.read_times(self.now).sustained_s;
+        let until_renewal_s = RESPONSES_BEFORE_RENEWAL * read_s.min(STORE_TIMEOUT_S);
+        self.settings.tuning.leader_lease_s.max(until_renewal_s)
+    }
+
     fn request_lease(&mut self) {
-        let ttl_ms = (self.settings.tuning.leader_lease_s * 1000.0) as u64;
+        let duration_s = self.candidate_lease_s();
+        let ttl_ms = (duration_s * 1000.0) as u64;
         let request = StoreRequest::GrantLease { ttl_ms };
         if self
             .send_store_request(request, RequestPurpose::GrantLease, Priority::First)
             .is_ok()
         {
             self.election.request_pending = true;
+            self.election.requested_duration_s = duration_s;
         }
     }
 
@@ -291,6 +312,7 @@
         self.election.candidate_leases.push_back(CandidateLease {
             lease_id,
             requested_at: sent_at,
+            duration_s: self.election.requested_duration_s,
         });
         if self.election.candidate_leases.len() > CANDIDATE_LEASES_MAX {
             self.election.candidate_leases.pop_front();
