--- a/tests/keepalive.rs
+++ b/tests/keepalive.rs
@@ -13,7 +13,7 @@
 const REVISION: u64 = 10;
 
 const PLATFORM: &str = r#"{"member":"n0","site":"a","listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
-    "peers":[{"member":"n1","site":"b","endpoint":"127.0.0.1:3"}],
+    "siblings":[{"member":"n1","site":"b","endpoint":"127.0.0.1:3"}],
     "services":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
     "facts":{"count":2,"zones":["a","b"],"teams":[],
     "workers":{"report_s":1,"lease_s":10,"cancel_s":35},
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -35,7 +35,7 @@
     let (peer, state, cloud) = (free_port(), free_port(), free_port());
     format!(
         r#"{{"member":"n0","site":"a","listen":"127.0.0.1:{listen}","peer_listen":"127.0.0.1:{peer}",
-        "peers":[],"services":{{"cloud":"127.0.0.1:{cloud}","state":"127.0.0.1:{state}"}},
+        "siblings":[],"services":{{"cloud":"127.0.0.1:{cloud}","state":"127.0.0.1:{state}"}},
         "facts":{{"count":1,"zones":["a"],"teams":[],
         "workers":{{"report_s":1,"lease_s":10,"cancel_s":35}},
         "state":{{"rps":150,"write_rps":60,"value_kb":8,"txn_ops":16}},
