Don't take a full queue of status queries for a slow store

A query that is refused since too many wait counted as a reason to announce a larger age of statuses, though it says nothing about how long reads take. Also the comment on the mirror's endings, which had been lost.

--- a/src/controller/api/status_queries.rs
+++ b/src/controller/api/status_queries.rs
@@ -27,10 +27,13 @@
         if let Some(ending) = self.store.mirror.ending(&id) {
             return self.answer_ending(request_id, &id, ending);
         }
-        if self.is_out_of_touch() || self.api.status_queries.len() >= self.waiting_requests_max() {
+        if self.is_out_of_touch() {
             self.prepare_for_repetition(&id);
             return self.answer(request_id, Reply::later(503, 1, STATUS_UNKNOWN));
         }
+        if self.api.status_queries.len() >= self.waiting_requests_max() {
+            return self.answer(request_id, Reply::later(503, 1, STATUS_UNKNOWN));
+        }
         let preceding_call = self.last_call();
         let query = StatusQuery {
             request_id,
@@ -183,17 +186,17 @@
     /// Reads the end of a job that isn't in memory. While reads take long, a query can't wait for
     /// the read of the revision and for that of the end, but the next query finds the end in memory.
     fn read_end_for_later(&mut self, id: &JobId) {
-        let is_same = |purpose: &RequestPurpose| matches!(purpose, RequestPurpose::LearnEnd(other) if other == id);
-        if self.store.is_pending(is_same) {
+        let reads_same_end = |purpose: &RequestPurpose| match purpose {
+            RequestPurpose::LearnEnd(other) => other == id,
+            _ => false,
+        };
+        if self.store.is_pending(reads_same_end) {
             return;
         }
         let request = StoreRequest::Get(Key::End(id.clone()));
+        let purpose = RequestPurpose::LearnEnd(id.clone());
         // Without a budget for the request, the next query that isn't answered tries again.
-        let _ = self.send_store_request(
-            request,
-            RequestPurpose::LearnEnd(id.clone()),
-            Priority::Last,
-        );
+        let _ = self.send_store_request(request, purpose, Priority::Last);
     }
 
     /// Queues a query for another read.
--- a/src/controller/store/mirror.rs
+++ b/src/controller/store/mirror.rs
@@ -109,6 +109,7 @@
     pub placements: BTreeMap<(JobId, u32), (u64, PlacementRecord)>,
     /// The maximum ages of statuses that the controllers have announced.
     pub(crate) status_ages: StatusAges,
+    /// How jobs ended, and from when on that may be sent.
     endings: HashMap<JobId, KnownEnding>,
     /// The keys of `endings`, oldest first.
     endings_order: VecDeque<JobId>,
